--- /dev/null
+++ b/tests/decide_test.cpp
@@ -0,0 +1,1185 @@
+// The module's decisions, event by event. Where the code says what it guards against, a test here fails
+// without it.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "rig.h"
+
+namespace flaxdoor::test {
+namespace {
+
+// ---------------------------------------------------------------------------- rule 1: one answer, in time
+
+TEST(OneAnswer, NoUpstreamAtAll) {
+    Rig rig;
+    const auto id = rig.request();
+    rig.run(rig.now + ms(1000));
+    EXPECT_EQ(rig.sink.sends(id), 0u);
+    EXPECT_EQ(rig.sink.answers(id), 1u);
+}
+
+TEST(OneAnswer, UpstreamThatAppearsWhileARequestWaits) {
+    Rig rig;
+    const auto id = rig.request();
+    rig.fleet(2);
+    rig.run(rig.now + ms(900));
+    EXPECT_GE(rig.sink.sends(id), 1u);
+}
+
+TEST(OneAnswer, EveryOutcomeOfALastAttempt) {
+    for (const auto outcome : {Outcome::error, Outcome::full, Outcome::timeout, Outcome::connect_failed,
+                               Outcome::reset, Outcome::cancelled, Outcome::moot}) {
+        Settings s = plain_settings();
+        s.max_attempts = 1;
+        Rig rig(s);
+        rig.fleet(3);
+        const auto id = rig.request(unsafe);
+        ASSERT_EQ(rig.sink.sends(id), 1u);
+        rig.end(id, 0, outcome);
+        rig.run(rig.now + ms(1000));
+        EXPECT_EQ(rig.sink.sends(id), 1u);
+        EXPECT_EQ(rig.sink.answers(id), 1u) << static_cast<int>(outcome);
+    }
+}
+
+TEST(OneAnswer, NoneAfterTheClientWasServed) {
+    Rig rig;
+    rig.fleet(3);
+    const auto id = rig.request();
+    rig.end(id, 0, Outcome::ok);
+    rig.run(rig.now + ms(2000));  // the retry timer still fires
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.answers(id), 0u);
+}
+
+TEST(OneAnswer, NothingSentAfterTheClientLeft) {
+    Rig rig;
+    rig.fleet(3);
+    const auto id = rig.request();
+    rig.policy->on_client_gone(rig.now, id);
+    ASSERT_EQ(rig.sink.cancelled.size(), 1u);  // what can no longer count is cancelled
+    rig.end(id, 0, Outcome::cancelled);
+    rig.run(rig.now + ms(2000));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.answers(id), 0u);
+}
+
+TEST(OneAnswer, TheRequestsOwnDeadlineCounts) {
+    Rig rig;
+    rig.fleet(3);
+    const auto id = rig.request(safe, ms(60));
+    rig.end(id, 0, Outcome::full, ms(1));
+    rig.run(rig.now + ms(60));
+    EXPECT_EQ(rig.sink.answers(id) + (rig.sink.sends(id) > 1 ? 1 : 0), 1u);
+    const auto late = rig.request(safe, ms(0));
+    EXPECT_EQ(rig.sink.sends(late), 0u);
+    EXPECT_EQ(rig.sink.answers(late), 1u);
+}
+
+TEST(OneAnswer, TimeoutAtTheDeadlineIsAnswered) {
+    Rig rig;
+    rig.fleet(1);
+    const auto id = rig.request(unsafe, ms(200));
+    rig.now += ms(200);
+    rig.end(id, 0, Outcome::timeout, ms(200));
+    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
+}
+
+TEST(OneAnswer, UnknownClassFails) {
+    Rig rig;
+    rig.fleet(1);
+    const auto id = rig.request(77);
+    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
+}
+
+// --------------------------------------------------------------------------- rule 2: no effect twice
+
+TEST(NoEffectTwice, UnsafeThatMayHaveRunIsNeitherSentAgainNorRefused) {
+    for (const auto outcome : {Outcome::error, Outcome::timeout, Outcome::reset, Outcome::cancelled}) {
+        Rig rig;
+        rig.fleet(3);
+        const auto id = rig.request(unsafe);
+        rig.end(id, 0, outcome);
+        rig.run(rig.now + ms(1000));
+        EXPECT_EQ(rig.sink.sends(id), 1u);
+        EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
+        EXPECT_TRUE(rig.sink.refused.empty());
+    }
+}
+
+TEST(NoEffectTwice, UnsafeProvenNotRunIsSentAgain) {
+    for (const auto outcome : {Outcome::full, Outcome::connect_failed, Outcome::moot}) {
+        Rig rig;
+        rig.fleet(3);
+        const auto id = rig.request(unsafe);
+        rig.end(id, 0, outcome, ms(1));
+        rig.run(rig.now + ms(200));
+        EXPECT_EQ(rig.sink.sends(id), 2u);
+    }
+}
+
+TEST(NoEffectTwice, NoCopyOfARunningUnsafeRequest) {
+    Rig rig;
+    rig.fleet(3);
+    const auto id = rig.request(unsafe);
+    rig.run(rig.now + ms(999));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.submits[0].timeout, ms(1000));
+}
+
+TEST(NoEffectTwice, KeyedStaysInItsGroup) {
+    Rig rig;
+    rig.list(ListKind::full, {Rig::entry(1), Rig::entry(2), Rig::entry(101, 1), Rig::entry(102, 1)});
+    for (int i = 0; i < 20; ++i) {
+        const auto id = rig.request(keyed_zone);
+        ASSERT_EQ(rig.sink.sends(id), 1u);
+        const auto first = rig.sink.submits.back().upstream;
+        rig.end(id, 0, Outcome::reset, ms(1));
+        rig.run(rig.now + ms(300));
+        for (const auto& s : rig.sink.submits) {
+            if (s.request == id) {
+                EXPECT_EQ(s.upstream > 100, first > 100);
+            }
+        }
+        rig.policy->on_client_gone(rig.now, id);
+        rig.end(id, 1, Outcome::cancelled);
+        rig.run(rig.now + ms(20000));
+    }
+}
+
+TEST(NoEffectTwice, KeyedCellDiffersFromZone) {
+    Rig rig;
+    rig.list(ListKind::full, {Rig::entry(1, 0, UpstreamState::ready, Time{}, 7),
+                              Rig::entry(2, 0, UpstreamState::ready, Time{}, 8)});
+    const auto id = rig.request(keyed_cell);
+    ASSERT_EQ(rig.sink.sends(id), 1u);
+    rig.end(id, 0, Outcome::error, ms(1));
+    rig.run(rig.now + ms(1000));
+    for (const auto& s : rig.sink.submits) EXPECT_EQ(s.upstream, rig.sink.submits[0].upstream);
+    EXPECT_TRUE(rig.sink.refused.empty());
+}
+
+TEST(NoEffectTwice, KeyedIsNotSentAfterItsWindow) {
+    Settings s = plain_settings();
+    for (auto& c : s.classes) c.window = ms(30);  // below the shortest gap
+    Rig rig(s);
+    rig.fleet(3);
+    const auto id = rig.request(keyed_zone);
+    rig.end(id, 0, Outcome::error, ms(1));
+    rig.run(rig.now + ms(1000));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
+}
+
+TEST(NoEffectTwice, KeyedEverywhereMayBeRefused) {
+    Settings s = plain_settings();
+    s.max_attempts = 1;
+    Rig rig(s);
+    rig.fleet(3);
+    const auto all = rig.request(keyed_all);
+    rig.end(all, 0, Outcome::error, ms(1));
+    EXPECT_EQ(rig.sink.refused, std::vector<RequestId>{all});
+    const auto zone = rig.request(keyed_zone);
+    rig.end(zone, 0, Outcome::error, ms(1));
+    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{zone});
+}
+
+TEST(NoEffectTwice, OneAttemptAtATimeWhereCopiesAreNotAllowed) {
+    Settings s = plain_settings();
+    s.parallel_attempts = false;
+    Rig rig(s);
+    rig.fleet(3);
+    const auto id = rig.request(safe);
+    ASSERT_EQ(rig.sink.submits.size(), 1u);
+    EXPECT_GT(rig.sink.submits[0].timeout, Micros{0});  // the timer ends the attempt instead
+    rig.run(rig.now + ms(900));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+}
+
+// ---------------------------------------------------------------------------------- rule 3: drains kept
+
+TEST(Drains, NothingNewToADrainingGoneOrUnlistedUpstream) {
+    Rig rig;
+    rig.fleet(4);
+    rig.list(ListKind::delta,
+             {Rig::entry(1, 0, UpstreamState::draining), Rig::entry(2, 0, UpstreamState::gone)});
+    for (int i = 0; i < 40; ++i) rig.served();
+    EXPECT_EQ(rig.sink.sends_to(1) + rig.sink.sends_to(2), 0u);
+    rig.list(ListKind::full, {Rig::entry(4)});
+    const auto before = rig.sink.sends_to(3);
+    for (int i = 0; i < 40; ++i) rig.served();
+    EXPECT_EQ(rig.sink.sends_to(3), before);
+    EXPECT_GE(rig.sink.sends_to(4), 40u);
+}
+
+// Where closing is ruled, idle connections go with the notice, and each one that an outcome frees goes with
+// it.
+TEST(Drains, ConnectionsAreClosedWhenTheyAreIdle) {
+    Settings s = plain_settings();
+    s.drain_close = ms(800);
+    Rig rig(s);
+    rig.fleet(1);
+    rig.served();
+    const auto out = rig.wave(safe, 2);  // over the aim at most: no copy can go anywhere
+    ASSERT_EQ(out.size(), 2u);
+    EXPECT_TRUE(rig.sink.closed.empty());
+    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
+    EXPECT_EQ(rig.sink.closed.size(), 1u);
+    rig.now += ms(5);
+    rig.end(out[0], 0, Outcome::ok);
+    EXPECT_EQ(rig.sink.closed.size(), 2u);
+    rig.now += ms(5);
+    rig.end(out[1], 0, Outcome::error);
+    EXPECT_EQ(rig.sink.closed, (std::vector<UpstreamId>{1, 1, 1}));
+    rig.list(ListKind::full, {Rig::entry(1, 0, UpstreamState::draining)});  // told again: nothing is left
+    rig.list(ListKind::full, {});
+    EXPECT_EQ(rig.sink.closed.size(), 3u);
+}
+
+TEST(Drains, NothingIsClosedThatWasNotOpenedOrWhereNoRuleSaysSo) {
+    for (const bool told : {false, true}) {
+        Settings s = plain_settings();
+        s.drain_close = told ? ms(800) : ms(0);
+        Rig rig(s);
+        rig.fleet(told ? 0 : 2);
+        rig.served();
+        rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
+        EXPECT_TRUE(rig.sink.closed.empty());
+    }
+}
+
+TEST(Drains, RetriesKeepThemToo) {
+    Rig rig;
+    rig.fleet(3);
+    const auto id = rig.request();
+    const auto first = rig.sink.submits[0].upstream;
+    rig.end(id, 0, Outcome::error, ms(1));
+    std::vector<UpstreamEntry> changes;
+    for (UpstreamId u = 1; u <= 3; ++u) {
+        if (u != first) changes.push_back(Rig::entry(u, 0, UpstreamState::draining));
+    }
+    rig.list(ListKind::delta, changes);
+    rig.run(rig.now + ms(1000));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.answers(id), 1u);
+}
+
+TEST(TheList, AskedAtStartOneInstanceAfterAnother) {
+    Time last{};
+    for (int rank = 0; rank < 3; ++rank) {
+        Settings s = plain_settings();
+        s.must_ask_list = true;
+        s.ask_within = std::chrono::seconds(10);
+        s.balancers = 3;
+        s.rank = rank;
+        Rig rig(s);
+        rig.list(ListKind::cached, {Rig::entry(1)});
+        ASSERT_EQ(rig.sink.timers.size(), 2u);  // the first beat, and the call
+        if (rank > 0) {
+            EXPECT_GT(rig.sink.timers[1].first, last);
+        }
+        last = rig.sink.timers[1].first;
+        rig.run(rig.now + s.ask_within);
+        EXPECT_GE(rig.sink.watches, 1);
+    }
+}
+
+TEST(TheList, FailedCallsAreRepeatedWithGrowingGapsInTime) {
+    Settings s = plain_settings();
+    s.must_ask_list = true;
+    s.ask_within = std::chrono::seconds(10);
+    Rig rig(s);
+    rig.list(ListKind::cached, {Rig::entry(1)});
+    rig.run(rig.now);
+    std::vector<Time> asked;
+    for (int i = 0; i < 8; ++i) {
+        const int before = rig.sink.watches;
+        rig.list(ListKind::failed, {});
+        const Time failed = rig.now;
+        while (rig.sink.watches == before) rig.run(rig.now + ms(50));
+        asked.push_back(rig.now - failed);
+        EXPECT_LE(asked.back(), 4 * s.ask_within);
+    }
+    EXPECT_GE(asked[0], ms(400));
+    EXPECT_GT(asked[7], 2 * asked[0]);
+    rig.list(ListKind::full, {Rig::entry(1)});  // subscribed: no further calls
+    const int before = rig.sink.watches;
+    rig.run(rig.now + std::chrono::seconds(60));
+    EXPECT_EQ(rig.sink.watches, before);
+}
+
+TEST(TheList, PushedListsAreNeverAskedFor) {
+    Rig rig;
+    rig.fleet(2);
+    rig.list(ListKind::failed, {});
+    rig.run(rig.now + std::chrono::seconds(60));
+    EXPECT_EQ(rig.sink.watches, 0);
+}
+
+// ----------------------------------------------------------------------------- rule 4: cold upstreams
+
+TEST(Cold, ARestartedUpstreamGetsLittleAtFirst) {
+    Rig rig;
+    rig.fleet(4);
+    for (int i = 0; i < 400; ++i) rig.served();
+    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::ready, rig.now)});
+    const auto before = rig.sink.sends_to(1);
+    const auto warm_before = rig.sink.sends_to(2);
+    for (int i = 0; i < 200; ++i) rig.served();  // two seconds: one fall span
+    const auto cold = rig.sink.sends_to(1) - before;
+    const auto warm = rig.sink.sends_to(2) - warm_before;
+    EXPECT_GE(cold, 1u);
+    EXPECT_LT(cold, warm / 2 + 1);
+    rig.now += std::chrono::seconds(8);
+    for (int i = 0; i < 100; ++i) rig.served();
+    EXPECT_GT(rig.sink.sends_to(1) - before - cold, 10u);  // warm again
+}
+
+// 200 balancers with a request every `gap` each: what a restarted upstream and a warm one get in the next
+// ones.
+void expect_little_for_the_cold_one(Micros gap, int requests, std::size_t share) {
+    Settings s = plain_settings();
+    s.balancers = 200;
+    std::size_t cold = 0, warm = 0;
+    for (s.rank = 0; s.rank < s.balancers; ++s.rank) {
+        Rig rig(s, static_cast<std::uint64_t>(s.rank) + 1);
+        rig.fleet(4);
+        const auto traffic = [&](int count) {
+            for (int i = 0; i < count; ++i) {
+                rig.served();
+                rig.now += gap;
+            }
+        };
+        traffic(40);
+        rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::ready, rig.now)});
+        const auto before = rig.sink.sends_to(1), warm_before = rig.sink.sends_to(2);
+        traffic(requests);
+        cold += rig.sink.sends_to(1) - before;
+        warm += rig.sink.sends_to(2) - warm_before;
+    }
+    EXPECT_GE(cold, 1u);
+    EXPECT_LT(share * cold,
+              warm);  // it can do a quarter of what a warm one can, and falls at three times that
+}
+
+TEST(Cold, ManyBalancersTogetherSendItNoMoreThanItsPart) {
+    expect_little_for_the_cold_one(ms(490), 4, 2);  // no request for each at once, in one fall span
+}
+
+TEST(Cold, BalancersThatSendLittleSendItStillLess) {
+    expect_little_for_the_cold_one(ms(3990), 2, 4);  // no floor above their own part of the work
+}
+
+// Guards against budgets that are each measured by the few upstreams that one of many balancers uses.
+TEST(Cold, OneOfManyBalancersThatUsesAFewMeasuresItsPartByAll) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    Rig rig(s);
+    rig.fleet(40);
+    for (int i = 0; i < 400; ++i) rig.served(safe, ms(20));
+    std::set<UpstreamId> used;
+    for (const auto& sent : rig.sink.submits) used.insert(sent.upstream);
+    ASSERT_LT(used.size(), 20u);
+    std::vector<UpstreamEntry> cold;
+    for (UpstreamId id = 41; id <= 80; ++id) cold.push_back(Rig::entry(id, 0, UpstreamState::ready, rig.now));
+    rig.list(ListKind::delta, cold);
+    const auto before = rig.sink.submits.size();
+    for (int i = 0; i < 100; ++i) rig.served(safe, ms(20));
+    std::map<UpstreamId, std::size_t> sends;
+    for (auto i = before; i < rig.sink.submits.size(); ++i) ++sends[rig.sink.submits[i].upstream];
+    std::size_t most = 0;
+    for (const auto& entry : cold) most = std::max(most, sends[entry.id]);
+    // Its part of a warm upstream's work is 50 requests a second over 40; a quarter of that for two seconds.
+    EXPECT_LE(most, 3u);
+}
+
+TEST(Cold, AFleetOfColdUpstreamsIsNotFlooded) {
+    Rig rig;
+    std::vector<UpstreamEntry> entries;
+    for (UpstreamId u = 1; u <= 3; ++u) entries.push_back(Rig::entry(u, 0, UpstreamState::ready, rig.now));
+    rig.list(ListKind::full, entries);
+    for (int i = 0; i < 100; ++i) rig.request(safe);
+    EXPECT_LE(rig.sink.submits.size(), 3u);
+    rig.run(rig.now + ms(1000));
+    for (RequestId id = 1; id <= 100; ++id) {
+        const bool running = rig.sink.sends(id) > 0;
+        EXPECT_TRUE(running || rig.sink.answers(id) == 1) << id;
+    }
+}
+
+TEST(Cold, WithOnlyACachedListWorkIsSpreadOverAllZones) {
+    Rig rig;
+    rig.list(ListKind::cached, {Rig::entry(1), Rig::entry(2), Rig::entry(101, 1), Rig::entry(102, 1)});
+    for (int i = 0; i < 60; ++i) rig.served();
+    EXPECT_GT(rig.sink.sends_to(101) + rig.sink.sends_to(102), 15u);
+    rig.fleet(2, 2);
+    const auto before = rig.sink.sends_to(101) + rig.sink.sends_to(102);
+    for (int i = 0; i < 60; ++i) rig.served();
+    EXPECT_EQ(rig.sink.sends_to(101) + rig.sink.sends_to(102), before);
+}
+
+TEST(Cold, AnUpstreamBackFromFailedConnectionsIsCold) {
+    Rig rig;
+    rig.fleet(2);
+    for (int i = 0; i < 200; ++i) rig.served();
+    for (int i = 0; i < 20; ++i) {  // upstream 1 refuses connections until it is put out
+        const auto id = rig.request();
+        if (rig.sink.submits.back().upstream == 1) {
+            rig.end(id, 0, Outcome::connect_failed, ms(1));
+        } else {
+            rig.end(id, 0, Outcome::ok, ms(10));
+        }
+    }
+    rig.run(rig.now + std::chrono::seconds(3));
+    const auto before = rig.sink.sends_to(1);
+    std::vector<RequestId> at_once;
+    rig.served();  // the trial
+    for (int i = 0; i < 30; ++i) rig.served();
+    EXPECT_GE(rig.sink.sends_to(1) - before, 1u);
+    EXPECT_LT(rig.sink.sends_to(1) - before, 10u);
+}
+
+// --------------------------------------------------------------------------------- the ordinary path
+
+TEST(Originals, StayInTheZoneAndSpreadOverIt) {
+    Rig rig;
+    rig.fleet(4, 4);
+    for (int i = 0; i < 100; ++i) rig.served();
+    for (UpstreamId u = 1; u <= 4; ++u) EXPECT_GT(rig.sink.sends_to(u), 8u);
+    for (UpstreamId u = 101; u <= 104; ++u) EXPECT_EQ(rig.sink.sends_to(u), 0u);
+}
+
+TEST(Originals, FewerOfOursInFlightWins) {
+    Rig rig;
+    rig.fleet(2);  // the pair is always the same two
+    for (int i = 0; i < 4; ++i) rig.request(unsafe);
+    EXPECT_EQ(rig.sink.sends_to(1), 2u);
+    EXPECT_EQ(rig.sink.sends_to(2), 2u);
+}
+
+TEST(Originals, SpillWhenUnderHalfOfTheZoneIsReady) {
+    Rig rig;
+    rig.fleet(4, 2);
+    rig.list(ListKind::delta,
+             {Rig::entry(1, 0, UpstreamState::draining), Rig::entry(2, 0, UpstreamState::draining),
+              Rig::entry(3, 0, UpstreamState::draining)});
+    for (int i = 0; i < 40; ++i) rig.served();
+    EXPECT_GT(rig.sink.sends_to(101) + rig.sink.sends_to(102), 10u);
+}
+
+TEST(Originals, SpillWhenEveryUpstreamOfTheZoneIsSlow) {
+    Rig rig;
+    rig.fleet(2, 2);
+    for (int i = 0; i < 60; ++i) rig.served(unsafe, ms(300));
+    EXPECT_GT(rig.sink.sends_to(101) + rig.sink.sends_to(102), 5u);
+}
+
+TEST(Originals, SpillWhenTheZoneIsKnownToBeFull) {
+    Rig rig;
+    rig.fleet(1, 1);
+    const auto a = rig.request(unsafe);
+    const auto b = rig.request(unsafe);
+    rig.end(b, 0, Outcome::full, ms(1));  // holds one of ours, takes no second
+    const auto c = rig.request(unsafe);
+    EXPECT_EQ(rig.sink.submits.back().request, c);
+    EXPECT_EQ(rig.sink.submits.back().upstream, 101u);
+    rig.end(a, 0, Outcome::ok, ms(10));
+}
+
+TEST(Originals, ManyBalancersEachUseAShareOfTheZoneAndAllUpstreamsAlike) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    std::vector<int> users(41);
+    for (s.rank = 0; s.rank < s.balancers; ++s.rank) {
+        Rig rig(s, static_cast<std::uint64_t>(s.rank) + 1);
+        rig.fleet(40);
+        for (int i = 0; i < 60; ++i) {
+            rig.served();
+            rig.now += ms(200);
+        }
+        std::size_t used = 0;
+        for (UpstreamId u = 1; u <= 40; ++u) {
+            const bool uses = rig.sink.sends_to(u) > 0;
+            used += uses;
+            users[u] += uses;
+        }
+        EXPECT_LE(used, 5u);
+    }
+    const auto [fewest, most] = std::minmax_element(users.begin() + 1, users.end());
+    EXPECT_GE(*fewest, 2);
+    EXPECT_LE(*most, 8);
+}
+
+TEST(Originals, KeysOfOneOfManyBalancersDrawAmongAFewShares) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    s.warm_keys = true;
+    Rig rig(s);
+    rig.fleet(40);
+    std::set<UpstreamId> used;
+    for (std::uint64_t key = 1; key < 100; ++key) {
+        const auto id = rig.request(safe, ms(1000), key);
+        if (rig.sink.sends(id) == 1) used.insert(rig.sink.submits.back().upstream);
+        rig.now += ms(200);
+        if (rig.sink.sends(id) == 1) rig.end(id, 0, Outcome::ok, ms(10));
+    }
+    EXPECT_GT(used.size(), 5u);
+    EXPECT_LE(used.size(), 13u);
+}
+
+TEST(Originals, ABusyBalancerUsesTheWholeZone) {
+    Rig rig;
+    rig.fleet(12);
+    for (int i = 0; i < 400; ++i) rig.served(safe, ms(2));
+    for (UpstreamId u = 1; u <= 12; ++u) EXPECT_GT(rig.sink.sends_to(u), 0u) << u;
+}
+
+TEST(Originals, AShareWithoutFitUpstreamsIsFilledFromTheRestOfTheZone) {
+    Settings s = plain_settings();
+    s.balancers = 40;
+    Rig rig(s);
+    rig.fleet(12, 12);
+    std::set<UpstreamId> dead;
+    for (int i = 0; i < 60; ++i) {
+        const auto id = rig.request();
+        ASSERT_EQ(rig.sink.sends(id), 1u);
+        const auto to = rig.sink.submits.back().upstream;
+        if (dead.size() < 3) dead.insert(to);
+        rig.now += ms(20);
+        rig.end(id, 0, dead.count(to) ? Outcome::connect_failed : Outcome::ok, ms(20));
+        rig.run(rig.now + ms(100));
+        for (int a = 1; a < static_cast<int>(rig.sink.sends(id)); ++a) rig.end(id, a, Outcome::ok, ms(20));
+    }
+    std::size_t living = 0;
+    for (UpstreamId u = 1; u <= 12; ++u) living += dead.count(u) == 0 && rig.sink.sends_to(u) > 0;
+    EXPECT_GE(living, 3u);
+}
+
+TEST(Originals, KeysDrawTheirPairWhereWarmKeysSaveWork) {
+    Settings s = plain_settings();
+    s.warm_keys = true;
+    Rig rig(s), other(s, 2);
+    std::set<UpstreamId> used;
+    for (Rig* r : {&rig, &other}) {  // the same at every balancer
+        r->fleet(8);
+        for (int i = 0; i < 50; ++i) {
+            const auto id = r->request(safe, ms(1000), 4711);
+            used.insert(r->sink.submits.back().upstream);
+            r->end(id, 0, Outcome::ok, ms(10));
+        }
+    }
+    EXPECT_LE(used.size(), 2u);
+    std::set<UpstreamId> all;
+    for (std::uint64_t key = 1; key < 100; ++key) {
+        const auto id = rig.request(safe, ms(1000), key);
+        all.insert(rig.sink.submits.back().upstream);
+        rig.end(id, 0, Outcome::ok, ms(10));
+    }
+    EXPECT_EQ(all.size(), 8u);
+}
+
+TEST(Retries, WhatWasTurnedAwayUnseenGoesOnAtOnceAndThenWaits) {
+    Rig rig;
+    rig.fleet(6);
+    const auto id = rig.request(unsafe);
+    rig.now += ms(1);
+    rig.end(id, 0, Outcome::full, ms(1));
+    ASSERT_EQ(rig.sink.sends(id), 2u);
+    rig.end(id, 1, Outcome::full, ms(1));
+    ASSERT_EQ(rig.sink.sends(id), 3u);
+    rig.end(id, 2, Outcome::full, ms(1));
+    EXPECT_EQ(rig.sink.sends(id), 3u);  // a gap now
+    rig.run(rig.now + ms(200));
+    EXPECT_EQ(rig.sink.sends(id), 4u);
+    std::set<UpstreamId> met;
+    for (const auto& sent : rig.sink.submits) met.insert(sent.upstream);
+    EXPECT_GE(met.size(), 2u);
+}
+
+TEST(Retries, EarlyFailuresWaitOutTheirGapAndGapsDouble) {
+    Rig rig;
+    rig.fleet(6);
+    const Time start = rig.now;
+    const auto id = rig.request(safe);
+    std::vector<Time> sent{start};
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        rig.end(id, attempt, Outcome::error, ms(1));
+        const auto before = rig.sink.sends(id);
+        while (rig.sink.sends(id) == before && rig.now < start + ms(1000)) rig.run(rig.now + ms(1));
+        if (rig.sink.sends(id) > before) sent.push_back(rig.now);
+    }
+    ASSERT_EQ(sent.size(), 4u);
+    EXPECT_EQ(sent[1] - sent[0], ms(80));  // most of the aim before anything is learned
+    EXPECT_EQ(sent[2] - sent[1], ms(160));
+    EXPECT_EQ(sent[3] - sent[2], ms(320));
+}
+
+TEST(Retries, GoToAnUpstreamThatHasNotJustFailed) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Rig rig(plain_settings(), seed);
+        rig.fleet(2);
+        const auto id = rig.request(safe);
+        rig.end(id, 0, Outcome::error, ms(1));
+        rig.run(rig.now + ms(90));
+        ASSERT_EQ(rig.sink.sends(id), 2u);
+        EXPECT_NE(rig.sink.submits[1].upstream, rig.sink.submits[0].upstream);
+    }
+}
+
+TEST(Retries, TheAttemptLimitHolds) {
+    Rig rig;
+    rig.fleet(6);
+    const auto id = rig.request(safe, std::chrono::seconds(100));
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        rig.end(id, attempt, Outcome::error, ms(1));
+        rig.run(rig.now + std::chrono::seconds(2));
+    }
+    EXPECT_EQ(rig.sink.sends(id), 4u);
+    EXPECT_EQ(rig.sink.answers(id), 1u);
+}
+
+TEST(Retries, ACopyOfAnOverdueRequestLeavesTheFirstRunning) {
+    Settings s = plain_settings();
+    s.report_fields = {ReportField::in_flight};
+    Rig rig(s);
+    rig.fleet(3);
+    const auto id = rig.request(safe);
+    rig.run(rig.now + ms(60));
+    for (const auto other : rig.wave(unsafe, 6)) {  // the others tell that they hold nothing
+        rig.end(other, 0, Outcome::ok, ms(1), {0.0F});
+    }
+    rig.run(rig.now + ms(30));
+    ASSERT_EQ(rig.sink.sends(id), 2u);
+    EXPECT_NE(rig.sink.submits.front().upstream, rig.sink.submits.back().upstream);
+    EXPECT_TRUE(rig.sink.cancelled.empty());
+    rig.end(id, 0, Outcome::ok, ms(90));
+    ASSERT_EQ(rig.sink.cancelled.size(), 1u);  // the other can no longer count
+    EXPECT_EQ(rig.sink.cancelled[0].second, 1);
+}
+
+// Guards against taking silence for idleness.
+TEST(Retries, NoCopyGoesToAnUpstreamNotHeardFromLately) {
+    Rig rig;
+    rig.fleet(3);
+    const auto id = rig.request(safe);
+    rig.run(rig.now + ms(900));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    rig.end(id, 0, Outcome::error, ms(900));  // but a retry of an ended attempt does
+    rig.run(rig.now + ms(99));
+    EXPECT_EQ(rig.sink.sends(id), 2u);
+}
+
+// Guards against copies that double the work of late requests and so make others late.
+TEST(Retries, ACopyNeedsFarLessDelayThanARetry) {
+    int copies = 0, retries = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Rig rig(plain_settings(), seed);
+        rig.fleet(3);
+        for (int i = 0; i < 60; ++i) rig.served(safe, ms(10));  // T1 25 ms, delay 10 ms everywhere
+        const auto id = rig.request(safe);
+        rig.run(rig.now + ms(30));
+        copies += rig.sink.sends(id) == 2;
+        rig.end(id, 0, Outcome::error, ms(30));
+        rig.run(rig.now + ms(30));
+        retries += rig.sink.sends(id) == 2;
+    }
+    EXPECT_EQ(copies, 0);
+    EXPECT_GE(retries, 8);
+}
+
+TEST(Retries, TheGateStopsThemWhenEveryTargetIsSlow) {
+    Rig rig;
+    rig.fleet(3);
+    std::vector<RequestId> ids;
+    for (int i = 0; i < 60; ++i) {  // latency far above T1 everywhere
+        const auto id = rig.request(unsafe);
+        ids.push_back(id);
+        rig.now += ms(300);
+        if (rig.sink.sends(id) > 0) rig.end(id, 0, Outcome::ok, ms(300));
+    }
+    const auto id = rig.request(safe);
+    ASSERT_EQ(rig.sink.sends(id), 1u);
+    rig.end(id, 0, Outcome::error, ms(1));
+    rig.run(rig.now + ms(81));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+}
+
+// ------------------------------------------------------------------------------------------- health
+
+TEST(Health, FailedConnectionsPutOutAndATrialBringsBack) {
+    Rig rig;
+    rig.fleet(4);
+    int to_sick = 0;
+    for (int i = 0; i < 60; ++i) {
+        const auto id = rig.request(safe);
+        if (rig.sink.submits.back().upstream == 1) {
+            ++to_sick;
+            rig.end(id, 0, Outcome::connect_failed, ms(1));
+        } else {
+            rig.end(id, 0, Outcome::ok, ms(1));
+        }
+    }
+    EXPECT_LE(to_sick, 3);
+    rig.now += std::chrono::seconds(5);
+    const auto before = rig.sink.sends_to(1);
+    for (int i = 0; i < 5; ++i) rig.request(safe);
+    EXPECT_EQ(rig.sink.sends_to(1) - before, 1u);  // one trial, no more
+}
+
+TEST(Health, TrialsReachOtherZonesToo) {
+    Rig rig;
+    rig.list(ListKind::cached, {Rig::entry(1), Rig::entry(101, 1)});
+    for (int i = 0; i < 60; ++i) {
+        const auto id = rig.request(safe);
+        rig.end(id, 0, rig.sink.submits.back().upstream == 101 ? Outcome::connect_failed : Outcome::ok,
+                ms(1));
+    }
+    rig.fleet(1, 1);
+    rig.now += std::chrono::seconds(5);
+    const auto before = rig.sink.sends_to(101);
+    rig.request(safe);
+    EXPECT_EQ(rig.sink.sends_to(101) - before, 1u);
+}
+
+TEST(Health, ProbesReadmitWhereTheyAreAllowed) {
+    Settings s = plain_settings();
+    s.may_probe = true;
+    Rig rig(s);
+    rig.fleet(2);
+    for (int i = 0; i < 30; ++i) {
+        const auto id = rig.request(safe);
+        rig.end(id, 0, rig.sink.submits.back().upstream == 1 ? Outcome::connect_failed : Outcome::ok, ms(1));
+    }
+    rig.now += std::chrono::seconds(5);
+    const auto before = rig.sink.sends_to(1);
+    rig.served();
+    EXPECT_EQ(rig.sink.probed, std::vector<UpstreamId>{1});
+    EXPECT_EQ(rig.sink.sends_to(1), before);
+    ProbeResult result;
+    result.upstream = 1;
+    rig.policy->on_probe_result(rig.now, result);
+    for (int i = 0; i < 100; ++i) rig.served();
+    EXPECT_GT(rig.sink.sends_to(1), before);
+}
+
+TEST(Health, AnUpstreamThatTurnsEverythingAwayIsPutOut) {
+    Rig rig;
+    rig.fleet(4);
+    int refused_there = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto id = rig.request(safe);
+        rig.now += ms(1);
+        if (rig.sink.submits.back().upstream == 1) {
+            ++refused_there;
+            rig.end(id, 0, Outcome::full, ms(1));
+        } else {
+            rig.end(id, 0, Outcome::ok, ms(1));
+        }
+    }
+    EXPECT_LE(refused_there, 6);
+}
+
+// Sends waves until the upstreams are known to take several at once.
+void warm_up(Rig& rig) {
+    for (int round = 0; round < 40; ++round) {
+        std::vector<RequestId> sent;
+        for (int i = 0; i < 24; ++i) {
+            const auto id = rig.request(unsafe);
+            if (rig.sink.sends(id) == 1) sent.push_back(id);
+        }
+        rig.now += ms(4);
+        for (const auto id : sent) rig.end(id, 0, Outcome::ok, ms(4));
+    }
+}
+
+TEST(Health, ASilentUpstreamIsLeftAlone) {
+    Rig rig;
+    rig.fleet(3);
+    warm_up(rig);
+    std::vector<RequestId> others;  // upstream 1 answers nothing more; the others hold about as many of ours
+    const auto held_before = rig.sink.sends_to(1);
+    for (int i = 0; i < 7; ++i) {
+        const auto id = rig.request(unsafe);
+        if (rig.sink.sends(id) == 1 && rig.sink.submits.back().upstream != 1) others.push_back(id);
+    }
+    ASSERT_GE(others.size(), 3u);
+    ASSERT_GE(rig.sink.sends_to(1) - held_before, 2u);
+    rig.now += ms(300);
+    for (const auto id : others) rig.end(id, 0, Outcome::ok, ms(4));
+    const auto before = rig.sink.sends_to(1);
+    for (int i = 0; i < 8; ++i) rig.request(unsafe);
+    EXPECT_EQ(rig.sink.sends_to(1), before);
+}
+
+// Guards against upstreams that fail one class only, whose other answers would hide it.
+TEST(Health, AnUpstreamThatFailsOneClassGetsNoMoreOfItAndAllOfTheOthers) {
+    Rig rig;
+    rig.fleet(4);
+    const auto serve = [&](int class_index) {
+        const auto id = rig.request(class_index);
+        if (rig.sink.sends(id) != 1) return UpstreamId{0};
+        const UpstreamId to = rig.sink.submits.back().upstream;
+        rig.now += ms(10);
+        const bool fails = to == 1 && class_index == unsafe;
+        rig.end(id, 0, fails ? Outcome::timeout : Outcome::ok);
+        return to;
+    };
+    std::map<UpstreamId, int> of_unsafe, of_safe;
+    for (int i = 0; i < 200; ++i) {
+        serve(unsafe);
+        serve(safe);
+    }
+    for (int i = 0; i < 100; ++i) {
+        ++of_unsafe[serve(unsafe)];
+        ++of_safe[serve(safe)];
+    }
+    EXPECT_LE(of_unsafe[1], 3);  // a try now and then
+    EXPECT_GE(of_unsafe[2] + of_unsafe[3] + of_unsafe[4], 95);
+    EXPECT_GE(of_safe[1], 10);
+}
+
+// Guards against idle connections that are dropped unseen: old ones get no answer, young ones do.
+TEST(Connections, ThoseOfAnAgeThatGetsNoAnswerAreClosedBeforeASend) {
+    // How often they were closed before an old one was used, and before a young one, in 20 rounds of both.
+    const auto closes = [](Outcome old, Outcome young) {
+        Rig rig;
+        rig.fleet(1);
+        for (int i = 0; i < 80; ++i) rig.served();
+        std::pair<std::size_t, std::size_t> counts;
+        const auto one = [&](Micros pause, Outcome outcome) {
+            rig.run(rig.now + pause);
+            const auto before = rig.sink.closed.size();
+            const auto id = rig.request(unsafe);
+            const auto renewed = rig.sink.closed.size() - before;
+            rig.now += ms(10);
+            if (rig.sink.sends(id) == 1) rig.end(id, 0, renewed > 0 ? Outcome::ok : outcome);
+            return renewed;
+        };
+        for (int i = 0; i < 20; ++i) {
+            counts.second += one(ms(2), young);
+            counts.first += one(ms(300), old);
+        }
+        return counts;
+    };
+    for (const auto lost : {Outcome::timeout, Outcome::reset}) {
+        EXPECT_GE(closes(lost, Outcome::ok).first, 5u);
+        EXPECT_EQ(closes(lost, Outcome::ok).second, 0u);
+        EXPECT_EQ(closes(lost, lost).first, 0u);  // the upstream is ill, not its connections
+    }
+    EXPECT_EQ(closes(Outcome::ok, Outcome::ok).first, 0u);
+}
+
+// Guards against connections that suddenly can't be made: each failed one would send work on to open the
+// next.
+TEST(Connections, WhileNewOnesFailWorkStaysWhereOneIsOpen) {
+    const auto new_upstreams = [](bool failing) {
+        Rig rig;
+        rig.fleet(3);
+        for (int i = 0; i < 100; ++i) rig.served(safe, ms(2));
+        std::vector<UpstreamEntry> added;
+        for (int i = 4; i <= 12; ++i) added.push_back(Rig::entry(static_cast<UpstreamId>(i)));
+        rig.list(ListKind::delta, added);
+        std::set<UpstreamId> met;
+        for (int i = 0; i < 60; ++i) {
+            const auto id = rig.request(unsafe);
+            if (rig.sink.sends(id) != 1) continue;
+            const UpstreamId to = rig.sink.submits.back().upstream;
+            rig.now += ms(2);
+            const bool fails = failing && to > 3;
+            if (to > 3) met.insert(to);
+            rig.end(id, 0, fails ? Outcome::connect_failed : Outcome::ok, ms(2));
+            rig.policy->on_client_gone(rig.now, id);  // no further attempts
+        }
+        return met.size();
+    };
+    EXPECT_GE(new_upstreams(false), 8u);
+    EXPECT_LE(new_upstreams(true), 4u);
+}
+
+TEST(Health, ASlowFleetIsNotAManyTimesSickOne) {
+    Rig rig;
+    rig.fleet(4);
+    warm_up(rig);
+    for (int i = 0; i < 8; ++i) rig.request(unsafe);
+    rig.now += ms(300);  // nobody answers for long: somebody must still be sent to
+    const auto id = rig.request(unsafe);
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+}
+
+// ------------------------------------------------------------------------------------------- refusal
+
+TEST(Refusal, RoomIsKeptForTheClassWorthMostForItsWork) {
+    Settings s = plain_settings();
+    s.classes[unsafe].worth = 10;
+    Rig rig(s);
+    rig.fleet(2);
+    for (int round = 0; round < 20; ++round) {  // both are met, several at once
+        const auto a = rig.wave(safe, 4), b = rig.wave(unsafe, 4);
+        rig.now += ms(10);
+        rig.answer(a, ms(10));
+        rig.answer(b, ms(10));
+    }
+    const auto poor = rig.wave(safe, 40);
+    const auto rich = rig.wave(unsafe, 40);
+    EXPECT_GT(poor.size(), 0u);
+    EXPECT_LT(poor.size(), 40u);
+    EXPECT_GT(rich.size(), 0u);
+}
+
+// Guards against a tenant that crowds out the others.
+TEST(Refusal, WhatATenantSendsBeyondItsShareIsShedFirst) {
+    Settings s = plain_settings();
+    s.tenants = {{"loud", 10}, {"quiet", 10}};
+    s.over_share_worth = 0.1;
+    Rig rig(s);
+    rig.fleet(4);
+    for (int round = 0; round < 40; ++round) {  // far beyond one share, within the other
+        const auto loud = rig.wave(unsafe, 8, 0), quiet = rig.wave(unsafe, 1, 1);
+        rig.now += ms(100);
+        rig.answer(loud, ms(10));
+        rig.answer(quiet, ms(10));
+    }
+    const auto loud = rig.wave(unsafe, 60, 0).size();
+    EXPECT_GT(loud, 0u);
+    EXPECT_GT(rig.wave(unsafe, 4, 1).size(), 0u);  // where the loud one gets no more, the quiet one does
+    EXPECT_EQ(rig.wave(unsafe, 4, 0).size(), 0u);
+}
+
+// Guards against upstreams that get less done the more they hold.
+TEST(Refusal, ACrowdedUpstreamGetsLessAtATime) {
+    Rig rig;
+    rig.fleet(1);
+    const auto wave = [&](Micros latency) {
+        const auto sent = rig.served_wave(unsafe, 30, latency);
+        rig.now += std::chrono::seconds(2);
+        return sent;
+    };
+    EXPECT_EQ(wave(ms(4)), 2u);  // nothing is known of it yet
+    for (int i = 0; i < 80; ++i) wave(ms(4));
+    const auto before = wave(ms(4));
+    EXPECT_GT(before, 2u);
+    for (int i = 0; i < 60; ++i) wave(ms(20));
+    EXPECT_LT(wave(ms(20)), before);
+}
+
+// Guards against many balancers that each send just a little to every upstream and together jam them all.
+// Guards against a room that shrinks only slowly while nothing is answered any more.
+TEST(Refusal, TimeOutsCutTheRoomLikeFullRefusals) {
+    const auto sent_after = [](Outcome outcome) {
+        Settings s = plain_settings();
+        s.balancers = 10;
+        Rig rig(s);
+        rig.fleet(40);
+        for (int i = 0; i < 100; ++i) rig.served_wave(unsafe, 20, ms(10));
+        for (int round = 0; round < 3; ++round) {
+            const auto sent = rig.wave(unsafe, 20);
+            rig.now += ms(20);
+            for (const auto id : sent) rig.end(id, 0, outcome, ms(20));
+        }
+        return rig.wave(unsafe, 60).size();
+    };
+    EXPECT_LT(sent_after(Outcome::timeout), sent_after(Outcome::error));
+}
+
+TEST(Refusal, OneOfManyBalancersKeepsBelowOneAnUpstreamInAJam) {
+    Settings s = plain_settings();
+    s.balancers = 20;
+    Rig rig(s);
+    rig.fleet(20, 20);
+    const auto wave = [&](Micros latency) { return rig.served_wave(unsafe, 60, latency); };
+    for (int i = 0; i < 100; ++i) wave(ms(4));
+    EXPECT_GE(wave(ms(4)), 20u);
+    for (int i = 0; i < 30; ++i) wave(ms(30));  // each holds little of ours, and still all are slow
+    const auto jammed = wave(ms(30));
+    EXPECT_LT(jammed, 20u);
+    EXPECT_GE(jammed, 3u);  // but never below the fair share
+    for (int i = 0; i < 300; ++i) wave(ms(4));
+    EXPECT_GE(wave(ms(4)), 20u);  // and it comes back
+}
+
+// Guards against upstreams that are held by work which can no longer count.
+TEST(AttemptLife, WhereALateAnswerIsWorthNothingTheRequestEndsWithItsAim) {
+    Settings s = plain_settings();
+    s.classes[unsafe].late_worth = 0;
+    Rig rig(s);
+    rig.fleet(3);
+    const auto id = rig.request(unsafe);
+    ASSERT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.submits[0].timeout, ms(100));  // the aim
+    rig.now += ms(100);
+    rig.end(id, 0, Outcome::timeout, ms(100));
+    EXPECT_EQ(rig.sink.answers(id), 1u);
+    EXPECT_EQ(rig.sink.failed.size(), 1u);  // it may have run: no refusal
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    const auto other = rig.request(keyed_zone);
+    EXPECT_EQ(rig.sink.submits.back().request, other);
+    EXPECT_EQ(rig.sink.submits.back().timeout, ms(1000));  // its late answers count
+}
+
+// Guards against a start into a crowd, which would teach its latencies as the usual ones.
+// Guards against a stall of the balancer itself: what waited meanwhile ends with the aim that it came with.
+TEST(AttemptLife, WhatWaitedInAStallOfOurOwnEndsWithItsTrueAim) {
+    Settings s = plain_settings();
+    for (auto& c : s.classes) c.late_worth = 0;
+    const auto stalled = [&](Micros stall, Micros left) {
+        Rig rig(s);
+        rig.fleet(4);
+        for (int i = 0; i < 20; ++i) {
+            rig.run(rig.now + ms(5));
+            rig.served();
+        }
+        rig.run(rig.now);
+        rig.now += stall;  // no timer fires meanwhile
+        const auto id = rig.request(safe, left);
+        const auto last = rig.sink.submits.back();
+        return rig.sink.sends(id) == 0 ? Micros{0} : last.timeout;
+    };
+    EXPECT_EQ(stalled(ms(0), ms(1000)), ms(100));    // no stall: the whole aim is left
+    EXPECT_EQ(stalled(ms(500), ms(1000)), ms(100));  // came in after it
+    EXPECT_GT(stalled(ms(500), ms(960)), ms(55));    // waited 40 ms
+    EXPECT_LT(stalled(ms(500), ms(960)), ms(65));
+    EXPECT_EQ(stalled(ms(500), ms(800)), ms(0));  // past its aim before it was seen
+    EXPECT_EQ(stalled(ms(0), ms(800)), ms(100));  // a client's short try, no stall
+}
+
+TEST(Refusal, AtTheStartAllBalancersTogetherHoldFew) {
+    Settings s = plain_settings();
+    s.balancers = 10;
+    Rig rig(s);
+    rig.fleet(10);
+    const auto sent = rig.wave(unsafe, 20);
+    EXPECT_GE(sent.size(), 3u);
+    EXPECT_LE(sent.size(), 9u);
+    rig.answer(sent, ms(4));
+    for (int i = 0; i < 100; ++i) rig.served_wave(unsafe, 20, ms(4));
+    EXPECT_EQ(rig.served_wave(unsafe, 20, ms(4)), 20u);
+}
+
+// Guards against jams of balancers that each hold just one: the room may be less than one attempt.
+TEST(Refusal, InAJamABalancerWithLessThanOneAttemptToHoldPausesBetweenThem) {
+    Settings s = plain_settings();
+    s.balancers = 200;
+    Rig rig(s);
+    rig.fleet(20);
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {  // one at a time, all late, from the first one on
+        const auto id = rig.request(unsafe);
+        const bool goes = rig.sink.sends(id) == 1;
+        rig.now += ms(90);
+        if (goes) rig.end(id, 0, Outcome::ok, ms(90));
+        if (i >= 50) sent += goes;
+    }
+    EXPECT_GT(sent, 5);
+    EXPECT_LT(sent, 40);
+}
+
+// Guards against cutting again for what was sent before the last cut: the room would swing from end to end.
+TEST(Refusal, OneCrowdedWaveCutsTheRoomOnce) {
+    Settings s = plain_settings();
+    s.balancers = 20;
+    Rig rig(s);
+    rig.fleet(40);
+    const auto wave = [&](Micros latency) { return rig.served_wave(unsafe, 60, latency); };
+    for (int i = 0; i < 150; ++i) wave(ms(4));
+    const auto open = wave(ms(4));
+    EXPECT_EQ(open, 60u);
+    wave(ms(30));
+    const auto cut = wave(ms(4));
+    EXPECT_LT(cut, 55u);
+    EXPECT_GT(cut, 25u);
+}
+
+// --------------------------------------------------------------------- odd events, settings, repetition
+
+TEST(OddEvents, UnknownOnesAreIgnored) {
+    Rig rig;
+    rig.fleet(2);
+    const auto before = rig.sink.script.size();
+    rig.end(99, 0, Outcome::ok);
+    rig.policy->on_client_gone(rig.now, 99);
+    rig.policy->on_started(rig.now, {99, 0, 1, ms(5)});
+    rig.policy->on_message(rig.now, 7, "stray");
+    rig.policy->on_timer(rig.now, 0);
+    rig.policy->on_timer(rig.now, ~std::uint64_t{0});
+    rig.policy->on_timer(rig.now, std::uint64_t{1} << 60 | 12345ULL << 32);
+    rig.policy->on_probe_result(rig.now, {});
+    const auto id = rig.request();
+    rig.end(id, 7, Outcome::ok);
+    rig.end(id, -1, Outcome::ok);
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    rig.end(id, 0, Outcome::ok);
+    rig.end(id, 0, Outcome::error);  // twice
+    rig.run(rig.now + ms(2000));
+    EXPECT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.answers(id), 0u);
+    EXPECT_GT(rig.sink.script.size(), before);
+}
+
+TEST(OddSettings, ContradictionsAreNamed) {
+    const auto refused = [](auto change) -> std::string {
+        Settings s = plain_settings();
+        change(s);
+        Recorder sink;
+        try {
+            Policy policy(s, 1, Time{}, sink);
+        } catch (const std::invalid_argument& error) {
+            return error.what();
+        }
+        return "";
+    };
+    EXPECT_EQ(refused([](Settings&) {}), "");
+    EXPECT_NE(refused([](Settings& s) { s.rank = 5; }).find("rank"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.zone = 2; }).find("zone"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.tick = Micros{0}; }).find("tick"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.max_attempts = 0; }).find("max_attempts"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.drain_close = Micros{-1}; }).find("drain_close"),
+              std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.cold_share = 0; }).find("cold_share"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.must_ask_list = true; }).find("ask_within"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.classes[0].aim = ms(2000); }).find("deadline"), std::string::npos);
+    EXPECT_NE(refused([](Settings& s) { s.classes[keyed_zone].window = Micros{0}; }).find("window"),
+              std::string::npos);
+}
+
+TEST(OddSettings, OneZoneOneUpstreamOneAttemptNoCancelNoReports) {
+    Settings s = plain_settings();
+    s.zones = 1;
+    s.max_attempts = 1;
+    s.may_cancel = s.parallel_attempts = false;
+    s.classes[safe].streams = true;
+    Rig rig(s);
+    rig.fleet(1);
+    const auto id = rig.request(safe);
+    ASSERT_EQ(rig.sink.sends(id), 1u);
+    EXPECT_EQ(rig.sink.submits[0].timeout, ms(1000));
+    rig.policy->on_started(rig.now, {id, 0, 1, ms(5)});
+    rig.end(id, 0, Outcome::ok, ms(20));
+    const auto gone = rig.request(safe);
+    rig.policy->on_client_gone(rig.now, gone);
+    EXPECT_TRUE(rig.sink.cancelled.empty());
+}
+
+TEST(Repetition, TheSameEventsGiveTheSameActions) {
+    const auto play = [](std::uint64_t seed) {
+        Rig rig(plain_settings(), seed);
+        rig.fleet(5, 3);
+        for (int i = 0; i < 300; ++i) {
+            const auto id = rig.request(i % 5);
+            rig.now += ms(i % 7);
+            constexpr Outcome outcomes[] = {Outcome::ok, Outcome::ok, Outcome::full, Outcome::error,
+                                            Outcome::timeout};
+            if (rig.sink.sends(id) > 0) rig.end(id, 0, outcomes[i % 5], ms(i % 40));
+            rig.run(rig.now + ms(3));
+        }
+        return rig.sink.script;
+    };
+    EXPECT_EQ(play(3), play(3));
+    EXPECT_NE(play(3), play(4));
+}
+
+}  // namespace
+}  // namespace flaxdoor::test
