--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,403 @@
+#include "net/clients.h"
+
+#include <algorithm>
+#include <boost/asio/ip/v6_only.hpp>
+#include <charconv>
+
+namespace flaxdoor::net {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr auto accept_pause = std::chrono::milliseconds(20);  // after one that failed for want of descriptors
+constexpr Micros request_most = seconds(10);                  // from a request's first byte to its last
+constexpr Micros answer_most = seconds(10);                   // to take an answer, and to end a connection
+constexpr Micros idle_most = seconds(300);                    // between requests
+constexpr std::uint64_t budget_most_ms = 60 * 1000;           // more than any client waits
+
+template <typename Number>
+bool parse_number(beast::string_view text, Number& value, int base = 10) {
+    const char* const end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data(), end, value, base);
+    return error == std::errc{} && last == end && !text.empty();
+}
+
+// The cookie `key`: its value as a number, or a number made of it.
+std::uint64_t key_of(beast::string_view cookies) {
+    while (!cookies.empty()) {
+        const auto end = std::min(cookies.find(';'), cookies.size());
+        auto pair = cookies.substr(0, end);
+        cookies.remove_prefix(std::min(end + 1, cookies.size()));
+        while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
+        if (pair.substr(0, 4) != "key=") continue;
+        const auto text = pair.substr(4);
+        std::uint64_t key = 0;
+        if (!parse_number(text, key, 16)) key = std::hash<std::string_view>{}({text.data(), text.size()});
+        return key;
+    }
+    return 0;
+}
+
+template <typename Items>
+std::optional<int> place_of(const Items& items, beast::string_view name) {
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        if (items[i].name == name) return static_cast<int>(i);
+    }
+    return std::nullopt;
+}
+
+// The method tells the effect, and must tell the one of the class.
+bool method_fits(const HttpRequest& message, Effect effect) {
+    const bool keyed = !message["Idempotency-Key"].empty();
+    switch (effect) {
+        case Effect::safe: return message.method() == http::verb::get;
+        case Effect::keyed: return message.method() == http::verb::post && keyed;
+        case Effect::unsafe: return message.method() == http::verb::post && !keyed;
+    }
+    return false;
+}
+
+beast::string_view path_of(const HttpRequest& message) {
+    return message.target().substr(0, message.target().find('?'));
+}
+
+HttpResponse plain_answer(http::status status) {
+    HttpResponse response(status, 11);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = std::string(http::obsolete_reason(status)) + "\n";
+    return response;
+}
+
+}  // namespace
+
+std::optional<ClientRequest> understand(HttpRequest message, const Settings& settings) {
+    ClientRequest request;
+    for (const char* once : {"X-Call-Id", "X-Call-Class", "X-Budget-Ms", "Idempotency-Key"}) {
+        if (message.count(once) > 1) return std::nullopt;
+    }
+    if (message["X-Call-Id"].empty()) return std::nullopt;
+    const auto c = place_of(settings.classes, message["X-Call-Class"]);
+    if (!c || !method_fits(message, settings.classes[static_cast<std::size_t>(*c)].effect)) {
+        return std::nullopt;
+    }
+    std::uint64_t budget_ms = 0;
+    if (!parse_number(message["X-Budget-Ms"], budget_ms) || budget_ms == 0 || budget_ms > budget_most_ms) {
+        return std::nullopt;
+    }
+    request.budget = std::chrono::milliseconds(budget_ms);
+    request.facts.class_index = *c;
+    request.facts.tenant = place_of(settings.tenants, message["X-Caller"]);
+    request.facts.key = key_of(message[http::field::cookie]);
+    request.facts.client_retry = message["X-Again"] == "1";
+    std::uint32_t cost_us = 0;
+    if (parse_number(message["X-Call-Cost"], cost_us)) request.facts.cost_hint = Micros(cost_us);
+    request.message = std::move(message);
+    return request;
+}
+
+// One client connection: reads a request, waits for its answer, writes it, and again. A read is always under
+// way, so that a client that goes while it waits is noticed at once.
+class Clients::Connection : public std::enable_shared_from_this<Connection> {
+public:
+    enum class State { reading, waiting, writing, lingering };
+
+    Connection(Clients& owner, tcp::socket socket) : owner_(owner), socket_(std::move(socket)) {}
+
+    void start() {
+        error_code error;
+        socket_.set_option(tcp::no_delay(true), error);
+        socket_.non_blocking(true, error);
+        expect_request();
+        read();
+    }
+
+    // Between requests, with nothing on its way here that could be told.
+    bool idle() {
+        return state_ == State::reading && buffer_.size() == 0 && !parser_->got_some() && quiet(socket_);
+    }
+    Time since() const { return since_; }
+
+    bool overdue(Time now) {
+        switch (state_) {
+            case State::reading: return now - since_ > (idle() ? idle_most : request_most);
+            case State::waiting: return false;
+            default: return now - since_ > answer_most;
+        }
+    }
+
+    void answer(HttpResponse response) {
+        response.version(11);
+        response.keep_alive(keep_alive_ && !owner_.winding_down_);
+        response.prepare_payload();
+        last_ = !response.keep_alive();
+        out_ = to_bytes(response);
+        written_ = 0;
+        enter(State::writing);
+        ++owner_.writing_;
+        write();
+    }
+
+    void close() {
+        if (closed_) return;
+        closed_ = true;
+        if (state_ == State::writing) --owner_.writing_;
+        error_code ignored;
+        socket_.close(ignored);
+        owner_.closed(this);
+    }
+
+private:
+    void enter(State state) {
+        if (state_ == State::writing) --owner_.writing_;
+        state_ = state;
+        since_ = owner_.clock_.now();
+    }
+
+    void expect_request() {
+        parser_.emplace();
+        parser_->header_limit(header_most);
+        parser_->body_limit(body_most);
+        parser_->eager(true);
+        continued_ = false;
+        enter(State::reading);
+    }
+
+    void read() {
+        // One request at a time: what a client sends beyond the one that waits is bounded too.
+        if (reading_ || buffer_.size() > header_most + body_most) return;
+        reading_ = true;
+        socket_.async_read_some(buffer_.prepare(8 * 1024),
+                                [self = shared_from_this()](error_code error, std::size_t got) {
+                                    self->reading_ = false;
+                                    if (self->closed_) return;
+                                    self->buffer_.commit(got);
+                                    if (error) {
+                                        self->gone();
+                                        return;
+                                    }
+                                    self->take();
+                                    if (!self->closed_) self->read();
+                                });
+    }
+
+    void gone() {
+        const bool waited = state_ == State::waiting;
+        const RequestId id = id_;
+        Clients& owner = owner_;
+        if (waited) owner.waiting_.erase(id);
+        close();
+        if (waited) owner.events_.on_client_left(id);
+    }
+
+    void take() {
+        if (state_ == State::lingering) buffer_.consume(buffer_.size());
+        if (state_ != State::reading || buffer_.size() == 0) return;
+        if (!parser_->got_some()) since_ = owner_.clock_.now();
+        error_code error;
+        buffer_.consume(parser_->put(buffer_.data(), error));
+        if (error && error != http::error::need_more) {
+            // Where this request ends is not known: the connection ends with the answer.
+            keep_alive_ = false;
+            const bool large = error == http::error::body_limit;
+            answer(plain_answer(large ? http::status::payload_too_large : http::status::bad_request));
+        } else if (parser_->is_done()) {
+            dispatch(parser_->release());
+        } else if (parser_->is_header_done() && !continued_ &&
+                   beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+            continued_ = true;
+            std::size_t sent = 0;
+            if (!write_some(socket_, "HTTP/1.1 100 Continue\r\n\r\n", sent)) close();
+        }
+    }
+
+    void dispatch(HttpRequest message) {
+        keep_alive_ = message.keep_alive();
+        const auto path = path_of(message);
+        if (path == "/ready" && message.method() == http::verb::get) {
+            answer(plain_answer(owner_.winding_down_ ? http::status::service_unavailable : http::status::ok));
+            return;
+        }
+        if (path != "/api") {
+            answer(plain_answer(http::status::not_found));
+            return;
+        }
+        auto request = understand(std::move(message), owner_.settings_);
+        if (!request) {
+            answer(plain_answer(http::status::bad_request));
+            return;
+        }
+        id_ = request->facts.id = ++owner_.last_id_;
+        enter(State::waiting);
+        owner_.waiting_.emplace(id_, this);
+        owner_.events_.on_client_request(std::move(*request));
+    }
+
+    void write() {
+        if (!write_some(socket_, out_, written_)) {
+            close();
+        } else if (written_ == out_.size()) {
+            written();
+        } else {
+            socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+                if (!error && !self->closed_ && self->state_ == State::writing) self->write();
+            });
+        }
+    }
+
+    void written() {
+        if (last_) {
+            linger();
+            return;
+        }
+        expect_request();
+        if (buffer_.size() == 0) return;
+        // Not from here: this may be under the call that brought the last request.
+        asio::post(owner_.loop_, [self = shared_from_this()] {
+            if (self->closed_) return;
+            self->take();
+            if (!self->closed_) self->read();
+        });
+    }
+
+    // Guards against an answer lost on its way: to close while bytes of the client are unread would reset the
+    // connection. So only this side ends, and what still comes is read until the client ends too.
+    void linger() {
+        enter(State::lingering);
+        error_code error;
+        socket_.shutdown(tcp::socket::shutdown_send, error);
+        if (error) {
+            close();
+            return;
+        }
+        buffer_.consume(buffer_.size());
+        read();
+    }
+
+    Clients& owner_;
+    tcp::socket socket_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::string out_;
+    std::size_t written_ = 0;
+    RequestId id_ = 0;
+    Time since_{};  // when the state was entered, or the request's first byte came
+    State state_ = State::reading;
+    bool reading_ = false;
+    bool keep_alive_ = true;
+    bool continued_ = false;
+    bool last_ = false;
+    bool closed_ = false;
+};
+
+Clients::Clients(asio::io_context& loop, const Clock& clock, const Settings& settings, std::size_t most,
+                 ClientEvents& events)
+    : loop_(loop),
+      clock_(clock),
+      settings_(settings),
+      most_(most),
+      events_(events),
+      acceptor_(loop),
+      retry_(loop),
+      sweep_(loop) {}
+
+Clients::~Clients() { stop(); }
+
+void Clients::listen(const tcp::endpoint& address) {
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(address);
+    acceptor_.listen(asio::socket_base::max_listen_connections);
+    accept();
+    sweep();
+}
+
+tcp::endpoint Clients::address() const { return acceptor_.local_endpoint(); }
+
+void Clients::accept() {
+    if (accepting_ || !acceptor_.is_open() || !make_room()) return;
+    accepting_ = true;
+    acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        accepting_ = false;
+        if (error && error != asio::error::connection_aborted) {
+            accept_later();
+            return;
+        }
+        if (!error) {
+            const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            connections_.emplace(connection.get(), connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+// Guards against spinning when descriptors run out: the listener stays ready, and each try fails at once.
+void Clients::accept_later() {
+    retry_.expires_after(accept_pause);
+    retry_.async_wait([this](error_code error) {
+        if (!error) accept();
+    });
+}
+
+// At the cap, the connection that has been idle longest makes room. Without one, accepting waits for a close.
+bool Clients::make_room() {
+    if (connections_.size() < most_) return true;
+    Connection* oldest = nullptr;
+    for (const auto& [connection, held] : connections_) {
+        if (connection->idle() && (!oldest || connection->since() < oldest->since())) oldest = connection;
+    }
+    if (!oldest) return false;
+    const auto held = connections_.at(oldest);
+    held->close();
+    return true;
+}
+
+void Clients::sweep() {
+    sweep_.expires_after(seconds(1));
+    sweep_.async_wait([this](error_code error) {
+        if (error) return;
+        std::vector<std::shared_ptr<Connection>> overdue;
+        for (const auto& [connection, held] : connections_) {
+            if (connection->overdue(clock_.now())) overdue.push_back(held);
+        }
+        for (const auto& connection : overdue) connection->close();
+        sweep();
+    });
+}
+
+void Clients::answer(RequestId request, HttpResponse response) {
+    const auto found = waiting_.find(request);
+    if (found == waiting_.end()) return;
+    const auto connection = found->second->shared_from_this();
+    waiting_.erase(found);
+    connection->answer(std::move(response));
+}
+
+void Clients::wind_down() {
+    winding_down_ = true;
+    std::vector<std::shared_ptr<Connection>> idle;
+    for (const auto& [connection, held] : connections_) {
+        if (connection->idle()) idle.push_back(held);
+    }
+    for (const auto& connection : idle) connection->close();
+}
+
+void Clients::closed(Connection* connection) {
+    connections_.erase(connection);
+    if (!accepting_) asio::post(loop_, [this] { accept(); });
+}
+
+void Clients::stop() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    retry_.cancel();
+    sweep_.cancel();
+    const auto held = std::move(connections_);
+    connections_.clear();
+    for (const auto& [connection, owned] : held) connection->close();
+    waiting_.clear();
+}
+
+}  // namespace flaxdoor::net
