Loopback tests of the real balancer; two faults that they found

- A 101 from an upstream was taken for a whole answer and its connection kept: whatever followed would have been read as the next answer.
It is a malformed answer now (src/net/upstreams.cpp, take).
- At the cap an idle client connection was closed as soon as the cap was reached, though none had come to take its place; a request could have been on its way there.
Room is made only when one has come (take_connections).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -307,6 +307,7 @@
     acceptor_.open(address.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(address);
+    acceptor_.non_blocking(true);
     acceptor_.listen(asio::socket_base::max_listen_connections);
     accept();
     sweep();
@@ -315,24 +316,35 @@
 tcp::endpoint Clients::address() const { return acceptor_.local_endpoint(); }
 
 void Clients::accept() {
-    if (accepting_ || !acceptor_.is_open() || !make_room()) return;
+    if (accepting_ || !acceptor_.is_open()) return;
     accepting_ = true;
-    acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted) return;
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+        if (error) return;
         accepting_ = false;
-        if (error && error != asio::error::connection_aborted) {
-            accept_later();
-            return;
-        }
-        if (!error) {
-            const auto connection = std::make_shared<Connection>(*this, std::move(socket));
-            connections_.emplace(connection.get(), connection);
-            connection->start();
-        }
-        accept();
+        take_connections();
     });
 }
 
+// All that wait. Room is made only for a connection that has come: one that is closed ahead of need may have
+// a request on its way.
+void Clients::take_connections() {
+    for (;;) {
+        if (connections_.size() >= most_ && !make_room()) return;  // goes on when a connection closes
+        tcp::socket socket(loop_);
+        error_code error;
+        acceptor_.accept(socket, error);
+        if (error == asio::error::would_block || error == asio::error::try_again) return accept();
+        if (error == asio::error::connection_aborted || error == asio::error::interrupted) continue;
+        if (error) {
+            make_room();
+            return accept_later();
+        }
+        const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+        connections_.emplace(connection.get(), connection);
+        connection->start();
+    }
+}
+
 // Guards against spinning when descriptors run out: the listener stays ready, and each try fails at once.
 void Clients::accept_later() {
     retry_.expires_after(accept_pause);
@@ -341,9 +353,8 @@
     });
 }
 
-// At the cap, the connection that has been idle longest makes room. Without one, accepting waits for a close.
+// The connection that has been idle longest makes room, if there is one.
 bool Clients::make_room() {
-    if (connections_.size() < most_) return true;
     Connection* oldest = nullptr;
     for (const auto& [connection, held] : connections_) {
         if (connection->idle() && (!oldest || connection->since() < oldest->since())) oldest = connection;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -53,6 +53,7 @@
     friend class Connection;
 
     void accept();
+    void take_connections();
     void accept_later();
     bool make_room();
     void sweep();
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -295,6 +295,7 @@
 
 void Host::stop_when_done() {
     if (!clients_.busy()) {
+        drained_ = true;
         net::log("drained");
         discovery_.stop();
         clients_.stop();
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -32,6 +32,7 @@
 
     // Serves on for a while, then answers what is held and stops the loop.
     void drain();
+    bool drained() const { return drained_; }
 
 private:
     // A request until it is answered and all of its attempts have ended.
@@ -105,6 +106,7 @@
     boost::asio::steady_timer rewatch_;
     boost::asio::steady_timer drain_;
     bool draining_ = false;
+    bool drained_ = false;
 
     Policy policy_;  // last: it asks for timers while it is made
 };
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -180,15 +180,12 @@
         error_code error;
         while (buffer_.size() > 0) {
             buffer_.consume(parser_->put(buffer_.data(), error));
-            if (error) break;
-            if (!parser_->is_done() || parser_->get().result_int() >= 200) break;
-            if (parser_->get().result() == http::status::switching_protocols) break;
+            if (error || !parser_->is_done() || parser_->get().result_int() >= 200) break;
+            // Nobody asked for another protocol: nothing that follows could be understood.
+            if (parser_->get().result() == http::status::switching_protocols) return broken();
             start_answer();  // an interim answer: the final one follows
         }
-        if (error && error != http::error::need_more) {
-            broken();
-            return;
-        }
+        if (error && error != http::error::need_more) return broken();
         if (ended == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
             error_code cut;
             parser_->put_eof(cut);
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,454 @@
+// The real balancer over loopback sockets: what each side sees, and in which order.
+#include <gtest/gtest.h>
+
+#include "net/upstreams.h"
+#include "peers.h"
+
+namespace flaxdoor::test {
+using namespace std::string_view_literals;
+
+namespace {
+
+// ---------------------------------------------------------------------------------------------- requests
+
+TEST(Serving, PassesRequestAndAnswerOnUnchanged) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(
+        "POST /api?a=1&b=%20 HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: 9b1f\r\nX-Call-Class: book it\r\n"
+        "X-Budget-Ms: 5000\r\nIdempotency-Key: k7\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: "
+        "5\r\n\r\na\0b\r\n"sv);
+    const auto [wire, request] = s.request();
+    EXPECT_TRUE(has(request, "POST /api?a=1&b=%20 HTTP/1.1\r\n"));
+    EXPECT_TRUE(has(request, "X-Call-Id: 9b1f\r\n"));
+    EXPECT_TRUE(has(request, "Idempotency-Key: k7\r\n"));
+    EXPECT_TRUE(has(request, "X-Budget-Ms: "));
+    EXPECT_FALSE(has(request, "X-Hop"));
+    EXPECT_EQ(request.substr(request.size() - 5), std::string("a\0b\r\n", 5));
+    wire->say(ok("x\r\ny", "X-Load-Report: active=1,avg_ms=2\r\n"));
+    const auto answer = s.answer(*client);
+    EXPECT_EQ(status(answer), 200);
+    EXPECT_EQ(answer.substr(answer.size() - 4), "x\r\ny");
+    EXPECT_FALSE(has(answer, "X-Load-Report"));
+    EXPECT_FALSE(client->ended);
+}
+
+TEST(Serving, ReadyAnswersAtOnce) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(status(s.answer(*client)), 200);
+}
+
+// The answer leaves before the client gives up, and the attempt that stays silent is given up with it.
+TEST(Serving, AnswersBeforeTheClientGivesUp) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    const auto sent = std::chrono::steady_clock::now();
+    client->say(once(150));
+    const auto [wire, request] = s.request();
+    EXPECT_EQ(status(s.answer(*client)), 502);
+    EXPECT_GE(std::chrono::steady_clock::now() - sent, std::chrono::milliseconds(140));
+    s.until([&w = wire] { return w->ended; });
+}
+
+TEST(Serving, ClientThatLeavesEndsItsAttempt) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    const auto [wire, request] = s.request();
+    client->close();
+    s.until([&w = wire] { return w->ended; });
+    EXPECT_EQ(s.connections(), 1U);
+}
+
+// Two requests written together are answered one after the other.
+TEST(Serving, PipelinedRequestsAreTakenInTurn) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(look(5000, "first") + look(5000, "second"));
+    for (const char* id : {"first", "second"}) {
+        const auto [wire, request] = s.request();
+        EXPECT_TRUE(has(request, id));
+        EXPECT_TRUE(s.nothing_sent());
+        wire->say(ok(id));
+        EXPECT_TRUE(has(s.answer(*client), id));
+    }
+}
+
+// -------------------------------------------------------------------------------------- kept connections
+
+TEST(Kept, ReusesAConnection) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    for (int i = 0; i < 3; ++i) {
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+    EXPECT_EQ(s.connections(), 1U);
+}
+
+TEST(Kept, HonoursConnectionClose) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    for (std::size_t i = 0; i < 2; ++i) {
+        client->say(look());
+        const auto wire = s.request().first;
+        wire->say(ok("served", "Connection: close\r\n"));
+        EXPECT_EQ(status(s.answer(*client)), 200);
+        s.until([&] { return wire->ended; });
+        EXPECT_EQ(s.connections(), i + 1);
+    }
+}
+
+// An end that has come in while a connection was kept is seen before it is used: an unsafe request that were
+// written to it would be lost.
+TEST(Kept, NoticesAnEndBeforeReuse) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    client->say(once());
+    const auto wire = s.request().first;
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    client->say(once());  // both are there before the host looks at either
+    wire->close();
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    EXPECT_EQ(s.connections(), 2U);
+}
+
+// Bytes that nobody asked for belong to no later request.
+TEST(Kept, DropsAConnectionThatSpeaksUnasked) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    const auto wire = s.request().first;
+    wire->say(ok("mine") + ok("nobody's"));
+    EXPECT_TRUE(has(s.answer(*client), "mine"));
+    client->say(look());
+    s.request().first->say(ok("also mine"));
+    EXPECT_TRUE(has(s.answer(*client), "also mine"));
+    EXPECT_EQ(s.connections(), 2U);
+}
+
+TEST(Kept, ClosesBeforeTheToldIdleLimit) {
+    Stage s(1);
+    s.config["settings"]["limits"]["idle_close"] = 50.0;
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    const auto wire = s.request().first;
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.until([&] { return wire->ended; });
+}
+
+// ---------------------------------------------------------------------------------------------- outcomes
+
+TEST(Outcomes, RefusedConnectionGoesOnElsewhere) {
+    Stage s;
+    s.upstreams[0]->close();
+    s.start();
+    const auto client = s.client();
+    for (int i = 0; i < 8; ++i) {
+        client->say(once());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+}
+
+// What has been written whole may have run: an unsafe request is neither sent again nor refused.
+TEST(Outcomes, ResetAfterTheLastByteIsNotSentAgain) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(once());
+    s.request().first->reset();
+    EXPECT_EQ(status(s.answer(*client)), 502);
+    EXPECT_TRUE(s.nothing_sent());
+    EXPECT_EQ(s.connections(), 1U);
+}
+
+TEST(Outcomes, MalformedAnswersAreResets) {
+    for (const std::string bad : {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                                  "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+                                  "HTTP/1.1 101 Switching Protocols\r\n\r\n"}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(once());
+        const auto wire = s.request().first;
+        wire->say(bad);
+        EXPECT_EQ(status(s.answer(*client)), 502) << bad;
+        s.until([&] { return wire->ended; });
+        EXPECT_EQ(s.connections(), 1U);
+    }
+}
+
+TEST(Outcomes, AnswerCutShortIsNoAnswer) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(once());
+    const auto wire = s.request().first;
+    wire->say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    wire->close();
+    EXPECT_EQ(status(s.answer(*client)), 502);
+}
+
+TEST(Outcomes, OnlyAMarkedRejectionHasNotRun) {
+    for (const bool marked : {true, false}) {
+        Stage s;
+        s.start();
+        const auto client = s.client();
+        client->say(once());
+        s.request().first->say("HTTP/1.1 503 Service Unavailable\r\n" +
+                               std::string(marked ? "X-Rejected: 1\r\n" : "") + "Content-Length: 0\r\n\r\n");
+        if (marked) {
+            s.request().first->say(ok());  // it goes on to the other upstream
+            EXPECT_EQ(status(s.answer(*client)), 200);
+        } else {
+            EXPECT_EQ(status(s.answer(*client)), 502);
+            EXPECT_TRUE(s.nothing_sent());
+        }
+    }
+}
+
+TEST(Outcomes, InterimAnswersAreSkipped) {
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    client->say(look());
+    s.request().first->say("HTTP/1.1 100 Continue\r\n\r\n" + ok("final"));
+    EXPECT_TRUE(has(s.answer(*client), "final"));
+}
+
+TEST(Outcomes, LoadReportsThatDoNotParseAreDropped) {
+    const std::vector<std::string> fields = {"active", "avg_ms"};
+    EXPECT_EQ(net::parse_report("avg_ms=2.5,active=3", fields), (Report{3, 2.5}));
+    EXPECT_EQ(net::parse_report("active=3, avg_ms=2.5, other=9", fields), (Report{3, 2.5}));
+    for (const char* bad : {"", "active=3", "active", "active=3,avg_ms=", "active=3,avg_ms=nan",
+                            "active=3,avg_ms=1e99", "active=3,avg_ms=2x", "active=3,,avg_ms=2"}) {
+        EXPECT_TRUE(net::parse_report(bad, fields).empty()) << bad;
+    }
+}
+
+// --------------------------------------------------------------------------------------------- bad input
+
+TEST(BadInput, IsAnsweredAndGoesNoFurther) {
+    const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\n";
+    struct Case {
+        std::string text;
+        int status;
+        bool framed;
+    };
+    const std::vector<Case> cases = {
+        {"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", 404, true},
+        {head + "X-Call-Class: unheard\r\nX-Budget-Ms: 100\r\nContent-Length: 0\r\n\r\n", 400, true},
+        {head + "X-Call-Class: once\r\nContent-Length: 0\r\n\r\n", 400, true},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 0\r\nContent-Length: 0\r\n\r\n", 400, true},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: -5\r\nContent-Length: 0\r\n\r\n", 400, true},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 99999999999999999999\r\nContent-Length: 0\r\n\r\n", 400,
+         true},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 9\r\nX-Budget-Ms: 8\r\nContent-Length: 0\r\n\r\n", 400,
+         true},
+        {head + "X-Call-Class: book it\r\nX-Budget-Ms: 100\r\nContent-Length: 0\r\n\r\n", 400, true},
+        {"GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n", 400, true},
+        {"nonsense\r\n\r\n", 400, false},
+        {head + "Content-Length: 1x\r\n\r\n", 400, false},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 100\r\nContent-Length: 65537\r\n\r\n", 413, false},
+        {"GET /api HTTP/1.1\r\nX-Long: " + std::string(20000, 'x'), 400, false},
+    };
+    for (const auto& c : cases) {
+        Stage s(1);
+        s.start();
+        const auto client = s.client();
+        client->say(c.text);
+        EXPECT_EQ(status(s.answer(*client)), c.status) << c.text.substr(0, 200);
+        EXPECT_EQ(s.connections(), 0U);
+        if (c.framed) {
+            client->say(look());
+            s.request().first->say(ok());
+            EXPECT_EQ(status(s.answer(*client)), 200);
+        } else {
+            s.until([&] { return client->ended; });
+        }
+    }
+}
+
+// ------------------------------------------------------------------------------------------------- limits
+
+// At the cap an idle client makes room for a new one; one that waits for its answer never does.
+TEST(Limits, IdleClientsMakeRoom) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = 36;  // two of them for clients
+    s.start();
+    const auto busy = s.client();
+    busy->say(look());
+    const auto wire = s.request().first;
+    const auto idle = s.client();
+    idle->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(status(s.answer(*idle)), 200);
+    const auto third = s.client();
+    third->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(status(s.answer(*third)), 200);
+    s.until([&] { return idle->ended; });
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*busy)), 200);
+}
+
+// ---------------------------------------------------------------------------------------------- discovery
+
+// The policy asks for its first timers while it is made: the host's queue must be there by then.
+TEST(Discovery, WatchesFromTheKnownVersion) {
+    Stage s;
+    s.start();
+    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    EXPECT_TRUE(has(s.discovery.wires[0]->in, "GET /v1/endpoints?stream=1&index=7 HTTP/1.1\r\n"));
+}
+
+std::string chunk(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+
+const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Whatever way a watch ends, the next one resumes after the last version heard.
+TEST(Discovery, ResumesAWatchThatFailed) {
+    for (const std::string end : {"cut", "503", "nonsense", "bad line", "unknown zone"}) {
+        Stage s;
+        s.start();
+        auto& calls = s.discovery.wires;
+        const auto asked = [&](std::size_t n) {
+            return calls.size() >= n && has(calls[n - 1]->in, "\r\n\r\n");
+        };
+        s.until([&] { return asked(1); });
+        json news = s.list(9, false);
+        calls[0]->say(watch_head + chunk(news.dump().substr(0, 20)) + chunk(news.dump().substr(20) + "\n"));
+        calls[0]->say(chunk("\n"));
+        std::size_t failed = 1;
+        if (end == "503" || end == "nonsense") {
+            calls[0]->close();
+            s.until([&] { return asked(2); });
+            calls[1]->say(end == "503" ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+                                       : "nonsense\r\n\r\n");
+            failed = 2;
+        } else if (end == "cut") {
+            calls[0]->close();
+        } else if (end == "bad line") {
+            calls[0]->say(chunk("{\"seq\":11,\n"));
+        } else {
+            news["seq"] = 11;
+            news["hosts"][0]["site"] = "nowhere";
+            calls[0]->say(chunk(news.dump() + "\n"));
+        }
+        s.until([&] { return asked(failed + 1); });
+        EXPECT_TRUE(has(calls[failed]->in, "index=9 ")) << end;
+    }
+}
+
+// What a watch says of an upstream holds from then on: one that leaves gets nothing new.
+TEST(Discovery, ListsArePassedOn) {
+    Stage s;
+    s.start();
+    auto& calls = s.discovery.wires;
+    s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+    json news = s.list(9, false);
+    news["hosts"] = {s.upstream(0, "leaving")};
+    calls[0]->say(watch_head + chunk(news.dump() + "\n") + chunk("\n"));
+    const auto client = s.client();
+    client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    s.answer(*client);
+    for (int i = 0; i < 6; ++i) {
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+    EXPECT_TRUE(s.upstreams[0]->wires.empty());
+}
+
+// All balancers must give an upstream the same id: the policy's order of upstreams rests on it.
+TEST(Discovery, IdsComeFromNamesAlone) {
+    EXPECT_EQ(net::id_of("s-5be2a07c"), net::id_of("s-5be2a07c"));
+    EXPECT_NE(net::id_of("s-5be2a07c"), net::id_of("s-5be2a07d"));
+    EXPECT_EQ(net::id_of("a"), 0xaf63dc4c8601ec8cULL);
+}
+
+// -------------------------------------------------------------------------------------------------- drain
+
+// After SIGTERM requests are still taken for a while, on old connections and on new ones; then what is held
+// is answered, with the connection's end told, and the loop ends.
+TEST(Drain, ServesWhatComesAndThenEnds) {
+    Stage s;
+    s.start();
+    const auto idle = s.client();
+    const auto held = s.client();
+    idle->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(status(s.answer(*idle)), 200);
+    held->say(once());
+    const auto wire = s.request().first;
+    s.host->drain();
+    const auto late = s.client();
+    late->say(once());
+    s.request().first->say(ok("late"));
+    EXPECT_TRUE(has(s.answer(*late), "late"));
+    s.until([&] { return idle->ended; });
+    wire->say(ok("held"));
+    const auto answer = s.answer(*held);
+    EXPECT_TRUE(has(answer, "held"));
+    EXPECT_TRUE(has(answer, "Connection: close\r\n"));
+    s.until([&] { return held->ended; });
+    s.until([&] { return s.host->drained(); });
+}
+
+// ----------------------------------------------------------------------------------------------
+// configuration
+
+TEST(Config, FlattensToTheWiresLines) {
+    const json settings = {{"a", {{"b", 1.5}, {"c", true}}},
+                           {"names", {"full node", "x,y"}},
+                           {"none", json::array()},
+                           {"items", {{{"k", "v"}}, {{"k", 2}}}}};
+    EXPECT_EQ(net::flatten(settings),
+              "a.b=1.5\na.c=true\nitems.count=2\nitems.0.k=v\nitems.1.k=2\nnames=full_node,x_y\nnone=\n");
+}
+
+TEST(Config, NamesStayAsMessagesHoldThem) {
+    Stage s;
+    const auto config = net::parse_config(s.config.dump());
+    EXPECT_EQ(config.settings.classes[1].name, "book it");
+    EXPECT_EQ(config.known.version, 7U);
+    EXPECT_EQ(config.known.upstreams[0].entry.kind, 0);
+    EXPECT_EQ(config.seed, 0x8c1f30d27a5be964ULL);
+}
+
+TEST(Config, WhatIsMissingOrBrokenIsAnError) {
+    Stage s;
+    EXPECT_ANY_THROW(net::parse_config("{"));
+    EXPECT_ANY_THROW(net::parse_config("[]"));
+    for (const char* key : {"settings", "listen", "discovery", "seed"}) {
+        json config = s.config;
+        config.erase(key);
+        EXPECT_ANY_THROW(net::parse_config(config.dump())) << key;
+        config[key] = "nonsense";
+        EXPECT_ANY_THROW(net::parse_config(config.dump())) << key;
+    }
+    EXPECT_ANY_THROW(net::parse_endpoint("127.0.0.1"));
+    EXPECT_ANY_THROW(net::parse_endpoint("127.0.0.1:70000"));
+    EXPECT_ANY_THROW(net::parse_endpoint("name:80"));
+}
+
+}  // namespace
+}  // namespace flaxdoor::test
