--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -321,28 +321,30 @@
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
         if (error) return;
         accepting_ = false;
-        take_connections();
+        take_connection();
     });
 }
 
-// All that wait. Room is made only for a connection that has come: one that is closed ahead of need may have
-// a request on its way.
-void Clients::take_connections() {
-    for (;;) {
-        if (connections_.size() >= most_ && !make_room()) return;  // goes on when a connection closes
-        tcp::socket socket(loop_);
-        error_code error;
-        acceptor_.accept(socket, error);
-        if (error == asio::error::would_block || error == asio::error::try_again) return accept();
-        if (error == asio::error::connection_aborted || error == asio::error::interrupted) continue;
-        if (error) {
-            make_room();
-            return accept_later();
-        }
+// Room is made only for a connection that has come: one that is closed ahead of need may have a request on
+// its way.
+void Clients::take_connection() {
+    if (connections_.size() >= most_ && !make_room()) return;  // goes on when a connection closes
+    tcp::socket socket(loop_);
+    error_code error;
+    acceptor_.accept(socket, error);
+    const bool passing = error == asio::error::would_block || error == asio::error::try_again ||
+                         error == asio::error::connection_aborted || error == asio::error::interrupted;
+    if (error && !passing) {
+        make_room();
+        accept_later();
+        return;
+    }
+    if (!error) {
         const auto connection = std::make_shared<Connection>(*this, std::move(socket));
         connections_.emplace(connection.get(), connection);
         connection->start();
     }
+    accept();
 }
 
 // Guards against spinning when descriptors run out: the listener stays ready, and each try fails at once.
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -53,7 +53,7 @@
     friend class Connection;
 
     void accept();
-    void take_connections();
+    void take_connection();
     void accept_later();
     bool make_room();
     void sweep();
