Drain: a request that is still coming in is taken and answered before the end

One that was half here, or written to a socket and not yet read, was cut off; so was an answer whose client had not read it (closing with bytes unread resets). wind_down now goes on until no connection is left but for a limit of the longest deadline. The test (Drain.WaitsForARequestThatIsComing) ends without an answer on the code before. SIGTERM is watched for from before the start; a start that succeeds says so, and a script tests both ends on the program itself.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,8 +30,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     try {
         boost::asio::io_context loop(1);
+        boost::asio::signal_set signals(loop, SIGTERM, SIGINT);  // kept for when the host is there to drain
         Host host(loop, configuration());
-        boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
         signals.async_wait([&](const boost::system::error_code& error, int) {
             if (!error) host.drain();
         });
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -134,14 +134,12 @@
         out_ = to_bytes(response);
         written_ = 0;
         enter(State::writing);
-        ++owner_.writing_;
         write();
     }
 
     void close() {
         if (closed_) return;
         closed_ = true;
-        if (state_ == State::writing) --owner_.writing_;
         error_code ignored;
         socket_.close(ignored);
         owner_.closed(this);
@@ -149,7 +147,6 @@
 
 private:
     void enter(State state) {
-        if (state_ == State::writing) --owner_.writing_;
         state_ = state;
         since_ = owner_.clock_.now();
     }
@@ -388,13 +385,14 @@
     connection->answer(std::move(response));
 }
 
-void Clients::wind_down() {
+bool Clients::wind_down() {
     winding_down_ = true;
     std::vector<std::shared_ptr<Connection>> idle;
     for (const auto& [connection, held] : connections_) {
         if (connection->idle()) idle.push_back(held);
     }
     for (const auto& connection : idle) connection->close();
+    return !connections_.empty();
 }
 
 void Clients::closed(Connection* connection) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -43,9 +43,9 @@
 
     // The one answer of a request. One whose client has gone is dropped.
     void answer(RequestId request, HttpResponse response);
-    // From now on every answer closes its connection; those between requests are closed.
-    void wind_down();
-    bool busy() const { return !waiting_.empty() || writing_ > 0; }  // answers are owed or under way
+    // From now on every answer closes its connection; those between requests are closed. Returns whether
+    // there are others: a request is coming in or waits, or an answer may not have arrived.
+    bool wind_down();
     void stop();
 
 private:
@@ -70,7 +70,6 @@
     std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
     std::unordered_map<RequestId, Connection*> waiting_;
     RequestId last_id_ = 0;
-    std::size_t writing_ = 0;
     bool accepting_ = false;  // an accept is under way
     bool winding_down_ = false;
 };
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -19,6 +19,7 @@
 // New connections keep coming for up to 0.4 s after SIGTERM.
 constexpr auto still_coming = milliseconds(450);
 constexpr auto drain_poll = milliseconds(10);
+constexpr Micros drain_slack = milliseconds(100);
 // Descriptors for what is neither a client's nor an upstream's.
 constexpr std::size_t spare_sockets = 32;
 
@@ -59,6 +60,7 @@
     handle([this](Time now) { tell_policy(now, ListKind::cached, config_.known); });
     if (!config_.settings.must_ask_list) discovery_.watch();
     clients_.listen(config_.listen);
+    net::log("listening");
 }
 
 // Neither the policy nor what it asked for is ever entered again from within: events that come up meanwhile
@@ -282,31 +284,31 @@
     if (draining_) return;
     draining_ = true;
     net::log("draining");
+    Micros longest{};
+    for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
+    drain_end_ = clock_.now() + still_coming + longest + drain_slack;
     drain_.expires_after(still_coming);
     drain_.async_wait([this](error_code error) {
         if (!error) wind_down();
     });
 }
 
+// Guards against a request lost at the end: one that is half here, or not yet read, is taken and answered
+// too. A client that never ends its own is not waited for beyond the longest deadline.
 void Host::wind_down() {
-    clients_.wind_down();
-    stop_when_done();
-}
-
-void Host::stop_when_done() {
-    if (!clients_.busy()) {
-        drained_ = true;
-        net::log("drained");
-        discovery_.stop();
-        clients_.stop();
-        upstreams_.stop();
-        loop_.stop();
+    if (clients_.wind_down() && clock_.now() < drain_end_) {
+        drain_.expires_after(drain_poll);
+        drain_.async_wait([this](error_code error) {
+            if (!error) wind_down();
+        });
         return;
     }
-    drain_.expires_after(drain_poll);
-    drain_.async_wait([this](error_code error) {
-        if (!error) wind_down();
-    });
+    drained_ = true;
+    net::log("drained");
+    discovery_.stop();
+    clients_.stop();
+    upstreams_.stop();
+    loop_.stop();
 }
 
 }  // namespace flaxdoor::net
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -85,7 +85,6 @@
     void run_timers();
     void forget_if_over(RequestId request);
     void wind_down();
-    void stop_when_done();
 
     boost::asio::io_context& loop_;
     const Config config_;
@@ -106,6 +105,7 @@
     boost::asio::steady_timer rewatch_;
     boost::asio::steady_timer drain_;
     bool draining_ = false;
+    Time drain_end_{};
     bool drained_ = false;
 
     Policy policy_;  // last: it asks for timers while it is made
--- a/tests/balancer_test.sh
+++ b/tests/balancer_test.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The program's start: what is wrong with a configuration ends it with one line and 1.
+# The program's start and end: what is wrong with a configuration ends it with one line and 1; SIGTERM drains it.
 balancer=$1
 fail() { echo "$1"; exit 1; }
 scratch=$(mktemp -d) && trap 'rm -rf "$scratch"' EXIT
@@ -19,3 +19,21 @@
 echo '{"settings":{"rank":0},"seed":"1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1"}' >"$scratch/short"
 refused env NODE_CONFIG="$scratch/short" "$balancer"
 case $message in *"setting missing: siblings"*) ;; *) fail "it said: $message" ;; esac
+
+# A start that succeeds says so; SIGTERM ends it with 0.
+cat >"$scratch/config" <<'END'
+{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+ "settings":{"rank":0,"siblings":1,"zone":0,"zones":["here"],"tick":1.0,"registry_mode":"ask","tenants":[],
+  "services":[{"name":"look","aim":100.0,"hard_limit":200.0,"effect":"idempotent"}],
+  "limits":{"max_attempts":2},"invariants":{"ask_within":10000.0}}}
+END
+mkfifo "$scratch/log"
+NODE_CONFIG="$scratch/config" "$balancer" 2>"$scratch/log" &
+balancer_pid=$!
+exec 3<"$scratch/log"
+while read -r line <&3; do
+    [ "$line" = listening ] && kill -TERM $balancer_pid
+    [ "$line" = drained ] && break
+done
+wait $balancer_pid || fail "SIGTERM must end it with 0"
+[ "$line" = drained ] || fail "it said last: $line"
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -410,6 +410,28 @@
     EXPECT_TRUE(has(answer, "held"));
     EXPECT_TRUE(has(answer, "Connection: close\r\n"));
     s.until([&] { return held->ended; });
+    held->close();
+    s.until([&] { return s.host->drained(); });
+}
+
+// A request that is only half here when idle connections are closed is still taken and answered.
+TEST(Drain, WaitsForARequestThatIsComing) {
+    Stage s;
+    s.start();
+    const auto idle = s.client();
+    const auto client = s.client();
+    idle->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(status(s.answer(*idle)), 200);
+    const auto request = once();
+    client->say(request.substr(0, 30));
+    s.host->drain();
+    s.until([&] { return idle->ended; });
+    EXPECT_FALSE(s.host->drained());
+    client->say(request.substr(30));
+    s.request().first->say(ok("in time"));
+    EXPECT_TRUE(has(s.answer(*client), "in time"));
+    s.until([&] { return client->ended; });
+    client->close();
     s.until([&] { return s.host->drained(); });
 }
 
