SIGHUP takes a new configuration: discovery moves without a gap

Cause: main.cpp listened for SIGTERM and SIGINT only, once, so SIGHUP killed the process.

Discovery starts a watch at the new address from the version heard, hears the old one until the new one speaks, and the old one's end is no failure to the module.

Tests: Discovery.MovesWithoutAGap; the program takes SIGHUP twice, keeps the old configuration when the new one is broken, and takes it while draining.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -90,6 +90,10 @@
     return {address, port};
 }
 
+std::string text_of(const boost::asio::ip::tcp::endpoint& endpoint) {
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 Config parse_config(std::string_view text) {
     const json config = json::parse(text);
     const json& settings = config.at("settings");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -36,5 +36,6 @@
 
 // a.b.c.d:port
 boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& text);
+std::string text_of(const boost::asio::ip::tcp::endpoint& endpoint);
 
 }  // namespace flaxdoor::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -88,6 +88,8 @@
         });
     }
 
+    bool watching() const { return watching_; }
+
     // No further news, not even of its end.
     void drop() {
         over_ = true;
@@ -162,7 +164,7 @@
     bool take_list() { return parser_.is_done() ? hear(lines_) : bounded(); }
 
     bool hear(std::string_view text) {
-        const bool understood = owner_.hear(text, watching_, first_);
+        const bool understood = owner_.hear(text, *this, first_);
         first_ = false;
         if (!understood) end("malformed list");
         return !over_;
@@ -192,14 +194,18 @@
 Discovery::~Discovery() { stop(); }
 
 void Discovery::watch() {
+    watching_ = true;
     if (watch_) return;
     watch_ = std::make_shared<Call>(*this, "/v1/endpoints?stream=1&index=" + std::to_string(version_), true);
     watch_->start();
 }
 
 void Discovery::unwatch() {
-    if (watch_) watch_->drop();
-    watch_.reset();
+    watching_ = false;
+    for (auto* call : {&watch_, &former_}) {
+        if (*call) (*call)->drop();
+        call->reset();
+    }
 }
 
 void Discovery::fetch() {
@@ -208,6 +214,22 @@
     fetch_->start();
 }
 
+void Discovery::move_to(const tcp::endpoint& address) {
+    if (address == address_) return;
+    address_ = address;
+    if (watching_) {
+        if (former_) former_->drop();
+        former_ = std::move(watch_);
+        watch_.reset();
+        watch();
+    }
+    if (fetch_) {
+        fetch_->drop();
+        fetch_.reset();
+        fetch();
+    }
+}
+
 void Discovery::stop() {
     unwatch();
     if (fetch_) fetch_->drop();
@@ -216,10 +238,11 @@
 
 // Returns whether the text was understood. The first line of a watch tells that the call has succeeded, even
 // when it brings nothing.
-bool Discovery::hear(std::string_view text, bool watching, bool first) {
+bool Discovery::hear(std::string_view text, const Call& call, bool first) {
+    const bool former = &call == former_.get();
     List list;
-    if (watching && text.empty()) {
-        if (!first) return true;
+    if (call.watching() && text.empty()) {
+        if (!first || former) return true;
         list.version = version_;
     } else {
         try {
@@ -228,14 +251,22 @@
             log(std::string("discovery: ") + error.what());
             return false;
         }
-        if (!watching && list.version < version_) return true;  // the watch has overtaken this answer
+        if ((!call.watching() || former) && list.version < version_) return true;  // overtaken meanwhile
         version_ = list.version;
     }
+    if (&call == watch_.get() && former_) {
+        former_->drop();
+        former_.reset();
+    }
     events_.on_list(std::move(list));
     return true;
 }
 
 void Discovery::ended(Call& call, const char* why) {
+    if (&call == former_.get()) {
+        former_.reset();
+        return;
+    }
     const bool watching = watch_.get() == &call;
     const std::shared_ptr<Call> ended = std::move(watching ? watch_ : fetch_);
     (watching ? watch_ : fetch_).reset();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -55,19 +55,24 @@
     void watch();  // resumes after the last version heard; nothing while a watch is open
     void unwatch();
     void fetch();  // the whole list, once
+    // From now on another service is asked. What was wanted of the old one is asked of the new one at once;
+    // the old watch is heard until the new one speaks, and its end is no failure.
+    void move_to(const boost::asio::ip::tcp::endpoint& address);
     void stop();
 
 private:
     class Call;
-    bool hear(std::string_view text, bool watching, bool first);
+    bool hear(std::string_view text, const Call& call, bool first);
     void ended(Call& call, const char* why);
 
     boost::asio::io_context& loop_;
-    const boost::asio::ip::tcp::endpoint address_;
+    boost::asio::ip::tcp::endpoint address_;
     const ListNames names_;
     DiscoveryEvents& events_;
     std::uint64_t version_ = 0;
+    bool watching_ = false;  // a watch is wanted
     std::shared_ptr<Call> watch_;
+    std::shared_ptr<Call> former_;  // the watch on the service before, until the new one speaks
     std::shared_ptr<Call> fetch_;
 };
 
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -63,6 +63,12 @@
     net::log("listening");
 }
 
+void Host::reconfigure(const Config& config) {
+    if (drained_) return;
+    net::log("configuration taken, discovery at " + text_of(config.discovery));
+    discovery_.move_to(config.discovery);
+}
+
 // Neither the policy nor what it asked for is ever entered again from within: events that come up meanwhile
 // wait their turn here.
 void Host::handle(std::function<void(Time)> event) {
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -30,6 +30,8 @@
 
     boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
+    // Takes from a new configuration what can change under way: where discovery is.
+    void reconfigure(const Config& config);
     // Serves on for a while, then answers what is held and stops the loop.
     void drain();
     bool drained() const { return drained_; }
--- a/tests/balancer_test.sh
+++ b/tests/balancer_test.sh
@@ -20,7 +20,8 @@
 refused env NODE_CONFIG="$scratch/short" "$balancer"
 case $message in *"setting missing: siblings"*) ;; *) fail "it said: $message" ;; esac
 
-# A start that succeeds says so; SIGTERM ends it with 0.
+# A start that succeeds says so; SIGHUP brings a new configuration, as often as it comes; one that is broken
+# leaves the old one; SIGTERM ends the program with 0.
 cat >"$scratch/config" <<'END'
 {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
  "settings":{"rank":0,"siblings":1,"zone":0,"zones":["here"],"tick":1.0,"registry_mode":"ask","tenants":[],
@@ -31,9 +32,27 @@
 NODE_CONFIG="$scratch/config" "$balancer" 2>"$scratch/log" &
 balancer_pid=$!
 exec 3<"$scratch/log"
-while read -r line <&3; do
-    [ "$line" = listening ] && kill -TERM $balancer_pid
-    [ "$line" = drained ] && break
+skip_to() {  # discovery does not answer here: what is said of that does not matter
+    while read -r line <&3; do
+        case $line in "$1"*) return ;; esac
+    done
+    fail "it never said: $1"
+}
+skip_to listening
+for port in 2 3; do
+    sed "s/127.0.0.1:1\"/127.0.0.1:$port\"/" "$scratch/config" >"$scratch/new" && mv "$scratch/new" "$scratch/config"
+    kill -HUP $balancer_pid
+    skip_to "configuration taken, discovery at 127.0.0.1:$port"
+    sed -i "s/127.0.0.1:$port\"/127.0.0.1:1\"/" "$scratch/config"
 done
+cp "$scratch/config" "$scratch/good"
+echo '{"settings":' >"$scratch/config"
+kill -HUP $balancer_pid
+skip_to "the old configuration stays: configuration $scratch/config: "
+kill -TERM $balancer_pid
+skip_to draining
+cp "$scratch/good" "$scratch/config"
+kill -HUP $balancer_pid
+skip_to "configuration taken, discovery at 127.0.0.1:1"
+skip_to drained
 wait $balancer_pid || fail "SIGTERM must end it with 0"
-[ "$line" = drained ] || fail "it said last: $line"
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -395,6 +395,63 @@
     EXPECT_TRUE(s.upstreams[0]->wires.empty());
 }
 
+// A new configuration names another service: it is asked at once from where the old one had got to, and the
+// old one is heard until the new one speaks. As often as it comes, also while draining.
+TEST(Discovery, MovesWithoutAGap) {
+    Stage s;
+    std::vector<std::unique_ptr<Listener>> services;
+    for (int i = 0; i < 3; ++i) services.push_back(std::make_unique<Listener>(s.loop));
+    s.config["discovery"] = text_of(services[0]->address());
+    s.start();
+    const auto asked = [&](std::size_t i) {
+        const auto& calls = services[i]->wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        return calls[0];
+    };
+    const auto move_to = [&](std::size_t i) {
+        s.config["discovery"] = text_of(services[i]->address());
+        s.host->reconfigure(net::parse_config(s.config.dump()));
+    };
+    const auto first = asked(0);
+    first->say(watch_head + chunk(s.list(9, false).dump() + "\n"));
+    const auto client = s.client();
+    client->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    move_to(1);
+    const auto second = asked(1);
+    EXPECT_TRUE(has(second->in, "index=9 ")) << second->in;
+    json news = s.list(10, false);
+    news["hosts"] = {s.upstream(0, "leaving")};
+    first->say(chunk(news.dump() + "\n"));
+    client->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    s.answer(*client);
+    const auto before = s.upstreams[0]->wires.size();
+    for (int i = 0; i < 6; ++i) {
+        client->say(look());
+        const auto wire = s.request().first;
+        EXPECT_EQ(std::count(s.upstreams[0]->wires.begin(), s.upstreams[0]->wires.end(), wire), 0);
+        wire->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+    }
+    EXPECT_EQ(s.upstreams[0]->wires.size(), before);
+    EXPECT_FALSE(first->ended);
+    client->say(look());
+    const auto held = s.request().first;
+    s.host->drain();
+    second->say(watch_head + chunk(s.list(8, true).dump() + "\n"));  // it counts anew
+    s.until([&] { return first->ended; });
+    move_to(1);  // nothing new: nothing happens
+    move_to(2);
+    EXPECT_TRUE(has(asked(2)->in, "index=8 ")) << asked(2)->in;
+    second->close();
+    held->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+    client->close();
+    s.until([&] { return s.host->drained(); });
+    for (const auto& service : services) EXPECT_EQ(service->wires.size(), 1U);
+}
+
 // All balancers must give an upstream the same id: the policy's order of upstreams rests on it.
 TEST(Discovery, IdsComeFromNamesAlone) {
     EXPECT_EQ(net::id_of("s-5be2a07c"), net::id_of("s-5be2a07c"));
