A spoilt answer is an error of a living upstream, not a reset

Cause: Upstreams::Connection::take told a malformed answer as Outcome::reset; two in a row put an upstream out (hard_strikes), mark it as died, and bring it back as a cold one for up to 8.6 s.

Now it is Outcome::error: may have run, one strike, no death.

--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr int interim_most = 8;     // answers 1xx ahead of the final one
+constexpr float value_most = 1e6F;  // of a load report; what says more, or less than none, knows nothing
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 
 Outcome outcome_of(const HttpResponse& answer) {
@@ -37,7 +39,9 @@
         const auto number = pair.substr(equals + 1);
         float value = 0;
         const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
-        if (error != std::errc{} || end != number.data() + number.size() || !std::isfinite(value)) return {};
+        if (error != std::errc{} || end != number.data() + number.size() ||
+            !(value >= 0 && value <= value_most))
+            return {};
         report[static_cast<std::size_t>(field - fields.begin())] = value;
         ++found;
     }
@@ -111,6 +115,7 @@
         attempt_ = attempt;
         out_ = std::move(bytes);
         written_ = 0;
+        interim_ = 0;
         since_ = owner_.clock_.now();
         expires_ = expires;
         start_answer();
@@ -182,15 +187,13 @@
             buffer_.consume(parser_->put(buffer_.data(), error));
             if (error || !parser_->is_done() || parser_->get().result_int() >= 200) break;
             // Nobody asked for another protocol: nothing that follows could be understood.
-            if (parser_->get().result() == http::status::switching_protocols) return broken();
+            if (parser_->get().result() == http::status::switching_protocols) return spoilt();
+            if (++interim_ > interim_most) return spoilt();
             start_answer();  // an interim answer: the final one follows
         }
-        if (error && error != http::error::need_more) return broken();
-        if (ended == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
-            error_code cut;
-            parser_->put_eof(cut);
-            if (cut) return broken();
-        }
+        if (error && error != http::error::need_more) return spoilt();
+        // One that would end with the connection can't be told from one that was cut short.
+        if (parser_->is_header_done() && parser_->need_eof()) return spoilt();
         if (parser_->is_done()) return answered(static_cast<bool>(ended));
         if (ended) return broken();
         read();
@@ -198,6 +201,10 @@
 
     void broken() { end(whole() ? Outcome::reset : Outcome::connect_failed); }
 
+    // What has come is no answer. The upstream lives, unlike after a reset, and the request may have run,
+    // also when its last byte is still to be written: nobody knows what the words belong to.
+    void spoilt() { end(Outcome::error); }
+
     void answered(bool ended) {
         const bool all_written = whole();
         HttpResponse answer = parser_->release();
@@ -236,6 +243,7 @@
     std::optional<AttemptKey> attempt_;
     std::string out_;
     std::size_t written_ = 0;
+    int interim_ = 0;
     Time since_{};  // when the attempt was sent, or when the connection was put by
     Time expires_{};
     bool connected_ = false;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -195,10 +195,20 @@
     EXPECT_EQ(s.connections(), 1U);
 }
 
-TEST(Outcomes, MalformedAnswersAreResets) {
-    for (const std::string bad : {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-                                  "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
-                                  "HTTP/1.1 101 Switching Protocols\r\n\r\n"}) {
+// They have run: an unsafe request is not sent again. The upstream lives, so it is neither put out nor cold:
+// two of them in a row would do that if they counted as resets.
+TEST(Outcomes, SpoiltAnswersAreErrors) {
+    std::string interims;
+    for (int i = 0; i < 9; ++i) interims += "HTTP/1.1 103 Early Hints\r\n\r\n";
+    for (const std::string& bad :
+         {std::string("nonsense\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+          "HTTP/1.1 200 OK\r\nX-Long: " + std::string(20000, 'x'),
+          std::string("HTTP/1.1 200 OK\r\n\r\nno length: whole or cut?"),
+          std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"), interims}) {
         Stage s;
         s.start();
         const auto client = s.client();
@@ -209,6 +219,17 @@
         s.until([&] { return wire->ended; });
         EXPECT_EQ(s.connections(), 1U);
     }
+    Stage s(1);
+    s.start();
+    const auto client = s.client();
+    for (int i = 0; i < 3; ++i) {
+        client->say(once());
+        s.request().first->say("nonsense\r\n\r\n");
+        EXPECT_EQ(status(s.answer(*client)), 502);
+    }
+    client->say(once());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
 }
 
 TEST(Outcomes, AnswerCutShortIsNoAnswer) {
@@ -253,8 +274,9 @@
     const std::vector<std::string> fields = {"active", "avg_ms"};
     EXPECT_EQ(net::parse_report("avg_ms=2.5,active=3", fields), (Report{3, 2.5}));
     EXPECT_EQ(net::parse_report("active=3, avg_ms=2.5, other=9", fields), (Report{3, 2.5}));
-    for (const char* bad : {"", "active=3", "active", "active=3,avg_ms=", "active=3,avg_ms=nan",
-                            "active=3,avg_ms=1e99", "active=3,avg_ms=2x", "active=3,,avg_ms=2"}) {
+    for (const char* bad :
+         {"", "active=3", "active", "active=3,avg_ms=", "active=3,avg_ms=nan", "active=3,avg_ms=1e99",
+          "active=-3,avg_ms=2", "active=3,avg_ms=1e7", "active=3,avg_ms=2x", "active=3,,avg_ms=2"}) {
         EXPECT_TRUE(net::parse_report(bad, fields).empty()) << bad;
     }
 }
