Bad clients are told once and closed, and hold nothing for long

Causes in net/clients: a 400 kept its connection, so the same came again at once; an X-Call-Id open at another client was taken; GET with a body and budgets up to 60 s were passed on; a silent connection was kept for 300 s, half a request for 10 s. By a test it shows that Beast takes "Transfer-Encoding: identity" and the like beside or before a Content-Length, and repeated equal lengths are turned down by it; both are turned down here now. Also: at the cap, when all waited, the next client was let in only when a connection closed, not when one was answered.

Now: every error closes; ids must be plain words and not open (409); the class bounds the budget; silence and halves end after 2 s, swept in 250 ms steps; lingering is bounded to 1 s and 256 KiB; room is made by those that linger or never spoke before idle ones; idle ones go after 2 s only while over half of the connections are in use; buffers shrink between requests.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,10 +11,11 @@
 using std::chrono::seconds;
 
 constexpr auto accept_pause = std::chrono::milliseconds(20);  // after one that failed for want of descriptors
-constexpr Micros request_most = seconds(10);                  // from a request's first byte to its last
-constexpr Micros answer_most = seconds(10);                   // to take an answer, and to end a connection
-constexpr Micros idle_most = seconds(300);                    // between requests
-constexpr std::uint64_t budget_most_ms = 60 * 1000;           // more than any client waits
+constexpr int sweeps = 8;                                     // in the time that a request may take
+// At the cap, whoever took so long to speak or to end is closed for a new connection.
+constexpr Micros room_after = std::chrono::milliseconds(100);
+constexpr std::size_t call_id_most = 64;
+constexpr std::size_t buffer_kept = 16 * 1024;  // on a connection between two requests
 
 template <typename Number>
 bool parse_number(beast::string_view text, Number& value, int base = 10) {
@@ -51,13 +52,30 @@
 bool method_fits(const HttpRequest& message, Effect effect) {
     const bool keyed = !message["Idempotency-Key"].empty();
     switch (effect) {
-        case Effect::safe: return message.method() == http::verb::get;
+        case Effect::safe: return message.method() == http::verb::get && message.body().empty();
         case Effect::keyed: return message.method() == http::verb::post && keyed;
         case Effect::unsafe: return message.method() == http::verb::post && !keyed;
     }
     return false;
 }
 
+// What goes on as the request's name, unchanged: a plain word.
+bool plain_word(beast::string_view text) {
+    return !text.empty() && text.size() <= call_id_most && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
+               c == '_' || c == '.';
+    });
+}
+
+// Guards against a second request hidden in the body of the first: where it ends must be told in one way, and
+// one that this side takes by itself.
+bool framed_in_one_way(const HttpRequest& message) {
+    const auto encodings = message.count(http::field::transfer_encoding);
+    const auto lengths = message.count(http::field::content_length);
+    if (encodings + lengths > 1) return false;
+    return encodings == 0 || beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
 beast::string_view path_of(const HttpRequest& message) {
     return message.target().substr(0, message.target().find('?'));
 }
@@ -76,16 +94,16 @@
     for (const char* once : {"X-Call-Id", "X-Call-Class", "X-Budget-Ms", "Idempotency-Key"}) {
         if (message.count(once) > 1) return std::nullopt;
     }
-    if (message["X-Call-Id"].empty()) return std::nullopt;
+    if (!plain_word(message["X-Call-Id"]) || !framed_in_one_way(message)) return std::nullopt;
     const auto c = place_of(settings.classes, message["X-Call-Class"]);
     if (!c || !method_fits(message, settings.classes[static_cast<std::size_t>(*c)].effect)) {
         return std::nullopt;
     }
-    std::uint64_t budget_ms = 0;
-    if (!parse_number(message["X-Budget-Ms"], budget_ms) || budget_ms == 0 || budget_ms > budget_most_ms) {
-        return std::nullopt;
-    }
-    request.budget = std::chrono::milliseconds(budget_ms);
+    std::uint32_t budget_ms = 0;
+    if (!parse_number(message["X-Budget-Ms"], budget_ms) || budget_ms == 0) return std::nullopt;
+    // No client of the class waits longer, whatever it says.
+    request.budget = std::min<Micros>(std::chrono::milliseconds(budget_ms),
+                                      settings.classes[static_cast<std::size_t>(*c)].deadline);
     request.facts.class_index = *c;
     request.facts.tenant = place_of(settings.tenants, message["X-Caller"]);
     request.facts.key = key_of(message[http::field::cookie]);
@@ -113,17 +131,29 @@
     }
 
     // Between requests, with nothing on its way here that could be told.
-    bool idle() {
-        return state_ == State::reading && buffer_.size() == 0 && !parser_->got_some() && quiet(socket_);
-    }
+    bool idle() { return between() && quiet(socket_); }
     Time since() const { return since_; }
 
+    // How readily it gives way to a new connection: not at all (0), or the sooner the higher.
+    int readiness(Time now) const {
+        const bool long_enough = now - since_ > room_after;
+        if (state_ == State::lingering) return long_enough ? 4 : 0;
+        if (state_ != State::reading) return 0;
+        if (!between()) return now - since_ > owner_.limits_.request / 4 ? 1 : 0;
+        return served_ ? 2 : long_enough ? 3 : 1;
+    }
+
     bool overdue(Time now) {
+        const ClientLimits& limits = owner_.limits_;
+        const Micros age = now - since_;
         switch (state_) {
-            case State::reading: return now - since_ > (idle() ? idle_most : request_most);
             case State::waiting: return false;
-            default: return now - since_ > answer_most;
+            case State::writing: return age > limits.answer;
+            case State::lingering: return age > limits.linger;
+            default: break;
         }
+        if (!served_ || !between()) return age > limits.request;
+        return age > (owner_.crowded() ? limits.idle_crowded : limits.idle) && quiet(socket_);
     }
 
     void answer(HttpResponse response) {
@@ -137,6 +167,11 @@
         write();
     }
 
+    void forget_request() {
+        owner_.waiting_.erase(id_);
+        owner_.call_ids_.erase(call_id_);
+    }
+
     void close() {
         if (closed_) return;
         closed_ = true;
@@ -146,6 +181,8 @@
     }
 
 private:
+    bool between() const { return state_ == State::reading && buffer_.size() == 0 && !parser_->got_some(); }
+
     void enter(State state) {
         state_ = state;
         since_ = owner_.clock_.now();
@@ -182,22 +219,24 @@
         const bool waited = state_ == State::waiting;
         const RequestId id = id_;
         Clients& owner = owner_;
-        if (waited) owner.waiting_.erase(id);
+        if (waited) forget_request();
         close();
         if (waited) owner.events_.on_client_left(id);
     }
 
     void take() {
-        if (state_ == State::lingering) buffer_.consume(buffer_.size());
+        if (state_ == State::lingering) {
+            lingered_ += buffer_.size();
+            buffer_.consume(buffer_.size());
+            if (lingered_ > owner_.limits_.linger_bytes) close();
+        }
         if (state_ != State::reading || buffer_.size() == 0) return;
-        if (!parser_->got_some()) since_ = owner_.clock_.now();
+        if (served_ && !parser_->got_some()) since_ = owner_.clock_.now();
         error_code error;
         buffer_.consume(parser_->put(buffer_.data(), error));
         if (error && error != http::error::need_more) {
-            // Where this request ends is not known: the connection ends with the answer.
-            keep_alive_ = false;
             const bool large = error == http::error::body_limit;
-            answer(plain_answer(large ? http::status::payload_too_large : http::status::bad_request));
+            turn_away(large ? http::status::payload_too_large : http::status::bad_request);
         } else if (parser_->is_done()) {
             dispatch(parser_->release());
         } else if (parser_->is_header_done() && !continued_ &&
@@ -208,6 +247,12 @@
         }
     }
 
+    // Whoever sends what can't be used would send it again: the connection ends with the answer.
+    void turn_away(http::status status) {
+        keep_alive_ = false;
+        answer(plain_answer(status));
+    }
+
     void dispatch(HttpRequest message) {
         keep_alive_ = message.keep_alive();
         const auto path = path_of(message);
@@ -216,12 +261,19 @@
             return;
         }
         if (path != "/api") {
-            answer(plain_answer(http::status::not_found));
+            turn_away(http::status::not_found);
             return;
         }
         auto request = understand(std::move(message), owner_.settings_);
         if (!request) {
-            answer(plain_answer(http::status::bad_request));
+            turn_away(http::status::bad_request);
+            return;
+        }
+        // Guards against an effect twice: upstreams know a request by its id, and so the answers of two that
+        // are open under the same one could not be told apart.
+        call_id_ = std::string(request->message["X-Call-Id"]);
+        if (!owner_.call_ids_.insert(call_id_).second) {
+            turn_away(http::status::conflict);
             return;
         }
         id_ = request->facts.id = ++owner_.last_id_;
@@ -247,7 +299,11 @@
             linger();
             return;
         }
+        served_ = true;
+        if (out_.capacity() > buffer_kept) out_ = {};
+        if (buffer_.size() == 0 && buffer_.capacity() > buffer_kept) buffer_.shrink_to_fit();
         expect_request();
+        owner_.accept_if_waiting();
         if (buffer_.size() == 0) return;
         // Not from here: this may be under the call that brought the last request.
         asio::post(owner_.loop_, [self = shared_from_this()] {
@@ -258,7 +314,8 @@
     }
 
     // Guards against an answer lost on its way: to close while bytes of the client are unread would reset the
-    // connection. So only this side ends, and what still comes is read until the client ends too.
+    // connection. So only this side ends, and what still comes is read until the client ends too, or has sent
+    // or waited for more than an answer can need.
     void linger() {
         enter(State::lingering);
         error_code error;
@@ -277,8 +334,11 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     std::string out_;
     std::size_t written_ = 0;
+    std::size_t lingered_ = 0;
     RequestId id_ = 0;
-    Time since_{};  // when the state was entered, or the request's first byte came
+    std::string call_id_;
+    Time since_{};         // when the state was entered, or the request's first byte came
+    bool served_ = false;  // it has had an answer
     State state_ = State::reading;
     bool reading_ = false;
     bool keep_alive_ = true;
@@ -287,12 +347,12 @@
     bool closed_ = false;
 };
 
-Clients::Clients(asio::io_context& loop, const Clock& clock, const Settings& settings, std::size_t most,
+Clients::Clients(asio::io_context& loop, const Clock& clock, const Settings& settings, ClientLimits limits,
                  ClientEvents& events)
     : loop_(loop),
       clock_(clock),
       settings_(settings),
-      most_(most),
+      limits_(limits),
       events_(events),
       acceptor_(loop),
       retry_(loop),
@@ -325,7 +385,8 @@
 // Room is made only for a connection that has come: one that is closed ahead of need may have a request on
 // its way.
 void Clients::take_connection() {
-    if (connections_.size() >= most_ && !make_room()) return;  // goes on when a connection closes
+    if (connections_.size() >= limits_.most && !make_room())
+        return;  // goes on when one closes or is answered
     tcp::socket socket(loop_);
     error_code error;
     acceptor_.accept(socket, error);
@@ -352,20 +413,32 @@
     });
 }
 
-// The connection that has been idle longest makes room, if there is one.
+void Clients::accept_if_waiting() {
+    if (!accepting_ && acceptor_.is_open()) asio::post(loop_, [this] { accept(); });
+}
+
+// Whoever has had its answer and lingers makes room first, then one that never spoke, then the one idle
+// longest, and last one that does not get on with its request. Who has asked and waits never does.
 bool Clients::make_room() {
-    Connection* oldest = nullptr;
+    const Time now = clock_.now();
+    Connection* best = nullptr;
+    int readiest = 0;
     for (const auto& [connection, held] : connections_) {
-        if (connection->idle() && (!oldest || connection->since() < oldest->since())) oldest = connection;
+        const int readiness = connection->readiness(now);
+        if (readiness == 0 || readiness < readiest) continue;
+        if (readiness == readiest && connection->since() >= best->since()) continue;
+        if ((readiness == 2 || readiness == 3) && !connection->idle()) continue;
+        best = connection;
+        readiest = readiness;
     }
-    if (!oldest) return false;
-    const auto held = connections_.at(oldest);
+    if (!best) return false;
+    const auto held = connections_.at(best);
     held->close();
     return true;
 }
 
 void Clients::sweep() {
-    sweep_.expires_after(seconds(1));
+    sweep_.expires_after(limits_.request / sweeps);
     sweep_.async_wait([this](error_code error) {
         if (error) return;
         std::vector<std::shared_ptr<Connection>> overdue;
@@ -373,6 +446,7 @@
             if (connection->overdue(clock_.now())) overdue.push_back(held);
         }
         for (const auto& connection : overdue) connection->close();
+        accept_if_waiting();
         sweep();
     });
 }
@@ -381,7 +455,7 @@
     const auto found = waiting_.find(request);
     if (found == waiting_.end()) return;
     const auto connection = found->second->shared_from_this();
-    waiting_.erase(found);
+    connection->forget_request();
     connection->answer(std::move(response));
 }
 
@@ -397,7 +471,7 @@
 
 void Clients::closed(Connection* connection) {
     connections_.erase(connection);
-    if (!accepting_) asio::post(loop_, [this] { accept(); });
+    accept_if_waiting();
 }
 
 void Clients::stop() {
@@ -409,6 +483,7 @@
     connections_.clear();
     for (const auto& [connection, owned] : held) connection->close();
     waiting_.clear();
+    call_ids_.clear();
 }
 
 }  // namespace flaxdoor::net
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "flaxdoor/decide.h"
 #include "net/clock.h"
@@ -30,10 +31,20 @@
     virtual void on_client_left(RequestId request) = 0;
 };
 
+struct ClientLimits {
+    std::size_t most = 512;                    // connections held at once
+    Micros request = std::chrono::seconds(2);  // from a connection's start, or a request's first byte, to
+                                               // the request's last
+    Micros idle = std::chrono::seconds(300);   // between requests
+    Micros idle_crowded = std::chrono::seconds(2);  // the same while over half of `most` are held
+    Micros answer = std::chrono::seconds(10);       // to take an answer
+    Micros linger = std::chrono::seconds(1);        // to end a connection after its last answer
+    std::size_t linger_bytes = 256 * 1024;          // that are read and dropped meanwhile
+};
+
 class Clients {
 public:
-    // `most` connections are held at once.
-    Clients(boost::asio::io_context& loop, const Clock& clock, const Settings& settings, std::size_t most,
+    Clients(boost::asio::io_context& loop, const Clock& clock, const Settings& settings, ClientLimits limits,
             ClientEvents& events);
     ~Clients();
 
@@ -55,20 +66,23 @@
     void accept();
     void take_connection();
     void accept_later();
+    void accept_if_waiting();
     bool make_room();
+    bool crowded() const { return 2 * connections_.size() > limits_.most; }
     void sweep();
     void closed(Connection* connection);
 
     boost::asio::io_context& loop_;
     const Clock& clock_;
     const Settings& settings_;
-    const std::size_t most_;
+    const ClientLimits limits_;
     ClientEvents& events_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_;
     boost::asio::steady_timer sweep_;
     std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
     std::unordered_map<RequestId, Connection*> waiting_;
+    std::unordered_set<std::string> call_ids_;  // of the requests that wait
     RequestId last_id_ = 0;
     bool accepting_ = false;  // an accept is under way
     bool winding_down_ = false;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "flaxdoor/decide.h"
+#include "net/clients.h"
 #include "net/discovery.h"
 
 namespace flaxdoor::net {
@@ -20,6 +21,7 @@
     boost::asio::ip::tcp::endpoint listen;
     boost::asio::ip::tcp::endpoint discovery;
     std::size_t sockets = 1024;
+    ClientLimits clients;  // `most` follows from `sockets`
 
     // As the settings name them, in their order: what messages hold are these names.
     std::vector<std::string> report_fields;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -30,6 +30,12 @@
     return std::max<std::size_t>(sockets, spare_sockets + 4) - spare_sockets;
 }
 
+ClientLimits client_limits(const Config& config) {
+    ClientLimits limits = config.clients;
+    limits.most = sockets_of(config) / 2;
+    return limits;
+}
+
 HttpResponse refusal(Micros retry_after) {
     HttpResponse response(http::status::service_unavailable, 11);
     if (retry_after > Micros{0}) {
@@ -47,7 +53,7 @@
 Host::Host(asio::io_context& loop, Config config)
     : loop_(loop),
       config_(std::move(config)),
-      clients_(loop, clock_, config_.settings, sockets_of(config_) / 2, *this),
+      clients_(loop, clock_, config_.settings, client_limits(config_), *this),
       upstreams_(loop, clock_,
                  {config_.settings.connect_timeout, config_.settings.idle_close, sockets_of(config_) / 2},
                  config_.report_fields, *this),
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -283,68 +283,193 @@
 
 // --------------------------------------------------------------------------------------------- bad input
 
-TEST(BadInput, IsAnsweredAndGoesNoFurther) {
+// Each is told what is wrong, its connection ends, and nothing of it reaches an upstream: not even a request
+// that is hidden behind it.
+TEST(BadInput, IsAnsweredAndClosed) {
     const std::string head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\n";
-    struct Case {
-        std::string text;
-        int status;
-        bool framed;
+    const std::string good = head + "X-Call-Class: once\r\nX-Budget-Ms: 100\r\n";
+    const std::string none = "Content-Length: 0\r\n\r\n";
+    const std::string get =
+        "GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n";
+    const std::string hidden = look();
+    const std::string length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n";
+    const std::vector<std::pair<std::string, int>> cases = {
+        {"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", 404},
+        {"nonsense\r\n\r\n", 400},
+        {"GET /api HTTP/1.1\r\nX-Long: " + std::string(20000, 'x'), 400},
+        {head + "X-Call-Class: unheard\r\nX-Budget-Ms: 100\r\n" + none, 400},
+        {head + "X-Call-Class: book it\r\nX-Budget-Ms: 100\r\n" + none, 400},
+        // the time left
+        {head + "X-Call-Class: once\r\n" + none, 400},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 0\r\n" + none, 400},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: -5\r\n" + none, 400},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: soon\r\n" + none, 400},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 1e3\r\n" + none, 400},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 99999999999999999999\r\n" + none, 400},
+        {head + "X-Call-Class: once\r\nX-Budget-Ms: 9\r\nX-Budget-Ms: 8\r\n" + none, 400},
+        // the id
+        {"GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n", 400},
+        {"GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: \r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n",
+         400},
+        {"GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: a b\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n",
+         400},
+        {good + "X-Call-Id: d\r\n" + none, 400},
+        // lengths
+        {good + "Content-Length: 1x\r\n\r\n", 400},
+        {good + "Content-Length: -1\r\n\r\n", 400},
+        {good + "Content-Length: 99999999999999999999999\r\n\r\n", 400},
+        {good + "Content-Length: 65537\r\n\r\n", 413},
+        {good + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody" + hidden, 400},
+        {good + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody" + hidden, 400},
+        {good + length + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 400},
+        {good + "Transfer-Encoding: chunked\r\n" + length + "\r\n0\r\n\r\n" + hidden, 400},
+        {good + length + "Transfer-Encoding: identity\r\n\r\n" + hidden, 400},
+        {good + "Transfer-Encoding: identity\r\n" + length + "\r\n" + hidden, 400},
+        {good + "Transfer-Encoding: xchunked\r\n" + length + "\r\n" + hidden, 400},
+        {good + "Transfer-Encoding: chunked, identity\r\n" + length + "\r\n" + hidden, 400},
+        {good + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + hidden, 400},
+        {good + "Content-Length : 0\r\n\r\n" + hidden, 400},
+        {good + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + hidden, 400},
+        {get + length + "\r\n" + hidden, 400},
+        {get + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" + hidden, 400},
     };
-    const std::vector<Case> cases = {
-        {"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", 404, true},
-        {head + "X-Call-Class: unheard\r\nX-Budget-Ms: 100\r\nContent-Length: 0\r\n\r\n", 400, true},
-        {head + "X-Call-Class: once\r\nContent-Length: 0\r\n\r\n", 400, true},
-        {head + "X-Call-Class: once\r\nX-Budget-Ms: 0\r\nContent-Length: 0\r\n\r\n", 400, true},
-        {head + "X-Call-Class: once\r\nX-Budget-Ms: -5\r\nContent-Length: 0\r\n\r\n", 400, true},
-        {head + "X-Call-Class: once\r\nX-Budget-Ms: 99999999999999999999\r\nContent-Length: 0\r\n\r\n", 400,
-         true},
-        {head + "X-Call-Class: once\r\nX-Budget-Ms: 9\r\nX-Budget-Ms: 8\r\nContent-Length: 0\r\n\r\n", 400,
-         true},
-        {head + "X-Call-Class: book it\r\nX-Budget-Ms: 100\r\nContent-Length: 0\r\n\r\n", 400, true},
-        {"GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Class: look\r\nX-Budget-Ms: 100\r\n\r\n", 400, true},
-        {"nonsense\r\n\r\n", 400, false},
-        {head + "Content-Length: 1x\r\n\r\n", 400, false},
-        {head + "X-Call-Class: once\r\nX-Budget-Ms: 100\r\nContent-Length: 65537\r\n\r\n", 413, false},
-        {"GET /api HTTP/1.1\r\nX-Long: " + std::string(20000, 'x'), 400, false},
-    };
-    for (const auto& c : cases) {
+    for (const auto& [text, told] : cases) {
         Stage s(1);
         s.start();
         const auto client = s.client();
-        client->say(c.text);
-        EXPECT_EQ(status(s.answer(*client)), c.status) << c.text.substr(0, 200);
-        EXPECT_EQ(s.connections(), 0U);
-        if (c.framed) {
-            client->say(look());
-            s.request().first->say(ok());
-            EXPECT_EQ(status(s.answer(*client)), 200);
-        } else {
-            s.until([&] { return client->ended; });
-        }
+        client->say(text);
+        EXPECT_EQ(status(s.answer(*client)), told) << text.substr(0, 300);
+        s.until([&] { return client->ended; });
+        EXPECT_TRUE(client->in.empty()) << text.substr(0, 300);
+        EXPECT_EQ(s.connections(), 0U) << text.substr(0, 300);
+    }
+}
+
+// An id that is open already, the same client's or another's, would mix up two requests at the upstreams.
+TEST(BadInput, AnOpenIdIsNotTakenTwice) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(once(5000, "mine", "x7"));
+    const auto wire = s.request().first;
+    const auto other = s.client();
+    other->say(once(5000, "theirs", "x7"));
+    EXPECT_EQ(status(s.answer(*other)), 409);
+    s.until([&] { return other->ended; });
+    EXPECT_TRUE(s.nothing_sent());
+    wire->say(ok("for mine"));
+    EXPECT_TRUE(has(s.answer(*client), "for mine"));
+    client->say(once(5000, "again", "x7"));
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+}
+
+// The class tells how long its clients wait at most.
+TEST(BadInput, ABudgetBeyondTheClassIsCut) {
+    Stage s;
+    s.start();
+    const auto client = s.client();
+    client->say(once(4000000));
+    const auto [wire, request] = s.request();
+    const auto at = request.find("X-Budget-Ms: ");
+    EXPECT_LE(std::stoi(request.substr(at + 13)), 5000);
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*client)), 200);
+}
+
+// Neither one that never speaks nor one that stops halfway is kept; one that has been served is.
+TEST(BadInput, SilenceAndHalvesAreClosed) {
+    Stage s;
+    s.clients.request = std::chrono::milliseconds(80);
+    s.start();
+    const auto served = s.client();
+    served->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*served)), 200);
+    const auto silent = s.client();
+    const auto half = s.client();
+    half->say(once().substr(0, 60));
+    const auto body = s.client();
+    body->say("POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nbod");
+    s.until([&] { return silent->ended && half->ended && body->ended; });
+    EXPECT_FALSE(served->ended);
+    served->say(look());
+    s.request().first->say(ok());
+    EXPECT_EQ(status(s.answer(*served)), 200);
+}
+
+// A client that goes on sending after its answer is not listened to for long.
+TEST(BadInput, LingeringIsBounded) {
+    for (const bool sends : {true, false}) {
+        Stage s;
+        s.clients.request = std::chrono::milliseconds(80);
+        (sends ? s.clients.linger : s.clients.answer) = std::chrono::hours(1);
+        s.clients.linger_bytes = sends ? 4096 : std::size_t{1} << 40;
+        if (!sends) s.clients.linger = std::chrono::milliseconds(40);
+        s.start();
+        const auto client = s.client();
+        client->say("nonsense\r\n\r\n");
+        EXPECT_EQ(status(s.answer(*client)), 400);
+        bool reset = false;
+        s.until([&] {
+            reset = reset || !client->try_say(std::string(sends ? 1024 : 1, 'x'));
+            return reset;
+        });
     }
 }
 
 // ------------------------------------------------------------------------------------------------- limits
 
-// At the cap an idle client makes room for a new one; one that waits for its answer never does.
+// At the cap the one that never spoke makes room first, then an idle one; one that waits for its answer
+// never.
 TEST(Limits, IdleClientsMakeRoom) {
+    const char* const ready = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
     Stage s(1);
-    s.config["limits"]["sockets"] = 36;  // two of them for clients
+    s.config["limits"]["sockets"] = 38;  // three of them for clients
     s.start();
     const auto busy = s.client();
     busy->say(look());
     const auto wire = s.request().first;
     const auto idle = s.client();
-    idle->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    idle->say(ready);
     EXPECT_EQ(status(s.answer(*idle)), 200);
+    const auto silent = s.client();
     const auto third = s.client();
-    third->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    third->say(ready);
     EXPECT_EQ(status(s.answer(*third)), 200);
+    s.until([&] { return silent->ended || idle->ended; });
+    const auto fourth = s.client();
+    fourth->say(ready);
+    EXPECT_EQ(status(s.answer(*fourth)), 200);
     s.until([&] { return idle->ended; });
     wire->say(ok());
     EXPECT_EQ(status(s.answer(*busy)), 200);
 }
 
+// While all wait for their answers a further client waits in the backlog, and is taken with the next answer.
+TEST(Limits, AnAnswerLetsTheNextClientIn) {
+    Stage s(1);
+    s.config["limits"]["sockets"] = 36;  // two of them for clients
+    s.clients.request = std::chrono::hours(1);
+    s.start();
+    const auto first = s.client();
+    first->say(look(5000, "one"));
+    const auto wire = s.request().first;
+    const auto second = s.client();
+    second->say(look(5000, "two"));
+    const auto other = s.request().first;
+    const auto third = s.client();
+    third->say(look(5000, "three"));
+    wire->say(ok());
+    EXPECT_EQ(status(s.answer(*first)), 200);
+    const auto [last, request] = s.request();
+    EXPECT_TRUE(has(request, "three"));
+    last->say(ok());
+    EXPECT_EQ(status(s.answer(*third)), 200);
+    other->say(ok());
+    EXPECT_EQ(status(s.answer(*second)), 200);
+}
+
 // ---------------------------------------------------------------------------------------------- discovery
 
 // The policy asks for its first timers while it is made: the host's queue must be there by then.
@@ -496,7 +621,7 @@
     const auto wire = s.request().first;
     s.host->drain();
     const auto late = s.client();
-    late->say(once());
+    late->say(once(5000, "body", "b3"));
     s.request().first->say(ok("late"));
     EXPECT_TRUE(has(s.answer(*late), "late"));
     s.until([&] { return idle->ended; });
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -44,6 +44,11 @@
         boost::system::error_code ignored;
         asio::write(socket_, asio::buffer(text.data(), text.size()), ignored);
     }
+    bool try_say(std::string_view text) {
+        boost::system::error_code error;
+        asio::write(socket_, asio::buffer(text.data(), text.size()), error);
+        return !error;
+    }
     void close() { socket_.close(); }
     void reset() {
         socket_.set_option(asio::socket_base::linger(true, 0));
@@ -146,7 +151,11 @@
         return {{"seq", version}, {"whole", whole}, {"hosts", hosts}};
     }
 
-    void start() { host = std::make_unique<net::Host>(loop, net::parse_config(config.dump())); }
+    void start() {
+        auto parsed = net::parse_config(config.dump());
+        parsed.clients = clients;
+        host = std::make_unique<net::Host>(loop, std::move(parsed));
+    }
 
     void until(const std::function<bool()>& holds) {
         const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
@@ -203,6 +212,7 @@
     std::vector<std::unique_ptr<Listener>> upstreams;
     Listener discovery;
     json config;
+    net::ClientLimits clients;
     std::unique_ptr<net::Host> host;
 };
 
@@ -210,11 +220,10 @@
     return "GET /api?q=1 HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: " + std::string(id) +
            "\r\nX-Call-Class: look\r\nX-Budget-Ms: " + std::to_string(budget_ms) + "\r\n\r\n";
 }
-inline std::string once(int budget_ms = 5000, std::string_view body = "body") {
-    return "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: b2\r\nX-Call-Class: "
-           "once\r\nX-Budget-Ms: " +
-           std::to_string(budget_ms) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           std::string(body);
+inline std::string once(int budget_ms = 5000, std::string_view body = "body", const char* id = "b2") {
+    return "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: " + std::string(id) +
+           "\r\nX-Call-Class: once\r\nX-Budget-Ms: " + std::to_string(budget_ms) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 inline std::string ok(std::string_view body = "served", std::string_view headers = "") {
     return "HTTP/1.1 200 OK\r\n" + std::string(headers) + "Content-Length: " + std::to_string(body.size()) +
