A broken connection is no death: upstreams come back cold only after a failed trial

Cause: in the module any reset or failed connection marked an upstream as died, two in a row put it out, and it came back as a cold one for up to 8.6 s (learn_health, come_back). With most of them "cold", warm_rate found no warm one and all budgets fell to least_rate. Ruled out: load (few time-outs, p99 as usual), CPU (0.05 s a second), the descriptors (48 of 384).

Places are used again, pools go with their upstream, its connections are closed with their last answer. An answer without a readable report no longer counts as news of load where reports are told.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -36,19 +36,17 @@
 constexpr double t1_most = 0.8;      //   and at most this one (0.5: retries far too early; 1: no better)
 constexpr double latency_weight = 1.0 / 64;  // weight of one answer in the usual latency of a class
 constexpr int max_strikes = 4;               // failures in a row that put an upstream out
-constexpr int hard_strikes = 2;              // a failed connection or reset counts so many
+constexpr int hard_strikes = 2;              // a failed connection counts so many
 constexpr double lost_weight = 0.2;          // of an outcome in the share of a class that an upstream loses
 constexpr double lost_share = 0.5;         // that puts it out for the class alone (0.4 tried: grey ones too)
 constexpr double lost_more = 2;            //   if it is so many times what the class loses on the whole
 constexpr double penalty_growth = 2;       // each further time out is so much longer
 constexpr double share_of_ramp_out = 0.5;  // longest time out, as a share of the ramp time
 // What may be in flight at one upstream: attempts, learned.
-constexpr double first_limit = 2;  // before anything is known of it (1 tried: no better)
-constexpr double limit_growth =
-    1.0 / 32;  // step up by an answer in good time at the limit, down by one from a crowd
+constexpr double first_limit = 2;          // before anything is known of it (1 tried: no better)
+constexpr double limit_growth = 1.0 / 32;  // step up by an answer at the limit, down by one from a crowd
 // What all of our attempts may be, cut only in a jam.
-// Cut from so many base latencies (1.6 and 1.8 tried: jams clear better, busy days are refused; 2.3: jams
-// stay).
+// Cut from so many base latencies (1.6, 1.8 tried: busy days are refused; 2.3: jams stay).
 constexpr double most_crowding = 2;
 constexpr double crowding_weight = 1.0 / 32;  // weight of an answer in that (1/16: false cuts; 1/64: late)
 constexpr double crowding_cap = 4;            // the most that one counts for (3, 6 tried)
@@ -56,25 +54,20 @@
                                       //   stay; 15: quiet days refused; 4 for time-outs: cut late)
 constexpr double room_cut = 0.7;      // what a cut leaves (0.5, 0.8 tried)
 constexpr double room_growth = 0.25;  // step up, shared as below (0.12, 0.5, 1 tried)
-constexpr double fair_share =
-    2;  // least room and the one at the start, attempts an upstream shared among balancers (1, 3 tried)
+constexpr double fair_share = 2;      // least room, attempts an upstream shared among balancers (1, 3 tried)
 constexpr double crowd = 3;  // an answer that took so many base latencies comes from a crowd (2 tried)
 constexpr double base_guess = 1.0 / 3;  // of the aim: base latency of a class before it is known
-constexpr double base_creep =
-    3e-4;  // rise of the base latency by an answer (1e-4, 1e-3 tried: 1e-3 learns jams)
+constexpr double base_creep = 3e-4;     // rise of the base latency by an answer (1e-3 tried: learns jams)
 // Who is sent at all: shares of the aim or of the time between a lone latency and the aim.
 constexpr double aim_margin = 0.5;   // of that time, what waiting may use (0.35, 0.7 tried)
 constexpr double most_lone = 0.75;   // of the aim, what a lone latency may take (0.5 tried: starves)
 constexpr double least_slope = 0.5;  // flattest line of latency over our own load, as a share of proportion
-constexpr double least_patience =
-    0.5;  // of a denser class's aim, what others may use at least (0.25, 0.75 tried)
-constexpr std::size_t at_once =
-    2;  // first attempts after which no gap is waited out if they never ran (1 tried)
+constexpr double least_patience = 0.5;  // of a denser class's aim, what others may use (0.25, 0.75 tried)
+constexpr std::size_t at_once = 2;      // first attempts after which what never ran waits no gap (1 tried)
 // A balancer's share of a zone.
-constexpr double hearings = 8;  // answers that it should get from each before it forgets
-constexpr double coverage = 2;  // shares that an upstream should be in at least
-constexpr std::size_t key_shares =
-    3;  // so many shares where keys draw the pair, to keep them warm (1, 2, all tried)
+constexpr double hearings = 8;                 // answers that it should get from each before it forgets
+constexpr double coverage = 2;                 // shares that an upstream should be in at least
+constexpr std::size_t key_shares = 3;          // so many shares where keys draw the pair (1, 2, all tried)
 constexpr double golden = 0.6180339887498949;  // turns of the ring from one rank's place to the next: even
 constexpr std::size_t least_share = 4;         // upstreams, so that a pair has a choice when some are out
 // How long an idle connection is trusted: by age, in steps that double.
@@ -94,8 +87,7 @@
 constexpr double beat_t1s = 0.25;    // gap between beats, by which a stall of our own is seen
 constexpr double left_creep = 1e-3;  // fall, by a request, of the longest time that clients leave us
 constexpr double ask_share = 0.1;    // of ask_within: first gap after a failed call, and spread at start
-constexpr Micros share_span =
-    std::chrono::seconds(4);  // of its share that a tenant may save up (1 to 15 tried)
+constexpr Micros share_span = std::chrono::seconds(4);  // that a tenant may save up (1 to 15 tried)
 constexpr Micros log_gap = std::chrono::seconds(1);
 
 double us(Micros span) { return static_cast<double>(span.count()); }
@@ -156,11 +148,10 @@
 
 struct Upstream {
     UpstreamEntry entry;
-    std::vector<Service> services;  // by class
-    std::uint64_t turn = 0;         // its place in the order of shares
-    std::vector<std::size_t>* ring =
-        nullptr;           // the ring of its zone, or of the other ones, while it is listed
-    int in_flight = 0;     // attempts of ours
+    std::vector<Service> services;             // by class
+    std::uint64_t turn = 0;                    // its place in the order of shares
+    std::vector<std::size_t>* ring = nullptr;  // of its zone, or of the other ones, while it is listed
+    int in_flight = 0;                         // attempts of ours
     bool linked = false;   // connections of ours may be open there: any doubt counts, for rule 5
     bool refused = false;  // the last attempt that ended there got no connection
     Time idle_since{};     // when the last outcome came from there
@@ -288,17 +279,19 @@
     }
 
     void learn(Time now, const UpstreamEntry& entry, ListKind kind) {
-        const auto [found, added] = index_.try_emplace(entry.id, upstreams_.size());
+        const bool added = index_.count(entry.id) == 0;
+        if (added && entry.state == UpstreamState::gone) return;
+        const std::size_t i = added ? free_place() : index_.at(entry.id);
+        Upstream& u = upstreams_[i];
         if (added) {
-            upstreams_.emplace_back();
-            upstreams_.back().penalty = first_penalty();
-            upstreams_.back().services.resize(classes_.size());
-            upstreams_.back().turn = Random(entry.id).next();
+            index_.emplace(entry.id, i);
+            u.penalty = first_penalty();
+            u.services.resize(classes_.size());
+            u.turn = Random(entry.id).next();
         }
-        Upstream& u = upstreams_[found->second];
         const bool restarted = !added && entry.started_at > u.entry.started_at;
         u.entry = entry;
-        put_on_ring(found->second);
+        put_on_ring(i);
         close_idle(u);
         if (entry.started_at > Time{} && (added || restarted)) begin_cold(u, entry.started_at, now);
         if (restarted && kind != ListKind::cached) {
@@ -308,6 +301,22 @@
         }
     }
 
+    // Guards against memory of all that ever were: the place of one that left and no open request remembers.
+    std::size_t free_place() {
+        std::vector<bool> held(upstreams_.size());
+        for (const auto& [id, slot] : by_id_) {
+            for (const auto& a : open_[slot].attempts) held[a.upstream] = true;
+        }
+        for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+            if (upstreams_[i].ring || held[i]) continue;
+            index_.erase(upstreams_[i].entry.id);
+            upstreams_[i] = {};
+            return i;
+        }
+        upstreams_.emplace_back();
+        return upstreams_.size() - 1;
+    }
+
     void ask(Time now) {
         if (subscribed_) return;
         asked_ = true;
@@ -460,7 +469,7 @@
                     const double per_held = latency / (held + 1);
                     u.per_held_us += (u.per_held_us == 0 ? 1 : delay_weight) * (per_held - u.per_held_us);
                     sample_delay(u, held * u.per_held_us, now);
-                } else {
+                } else if (in_flight_field_ == none) {
                     sample_delay(u, latency, now);
                 }
                 break;
@@ -472,8 +481,7 @@
 
     // p = min{[(q_max - q_avg) / (q_max - q_min)]^+, 1}. Guards against copies that double the work of late
     // requests and so make others late: while the first attempt runs, a copy passes only where there is known
-    // to be hardly any delay. One of many balancers hears so seldom from an upstream that its delay has
-    // decayed to nothing, and silence is not idleness.
+    // to be hardly any delay. Where nothing was heard lately the delay has decayed: that is not idleness.
     bool passes_gate(const Upstream& u, const Open& r, Time now) {
         const bool copy = r.in_flight > 0;
         if (copy && us(now - u.delay_at) > news_t1s * longest_t1_us_) return false;
@@ -484,9 +492,8 @@
 
     // Guards against idle connections that something between drops unseen: what is sent on one gets no
     // answer. Told from silent upstreams by the age of the connection: old ones fail, young and new ones are
-    // answered. Those older than the youngest step that fails are closed before a send. Ought to guard as
-    // well against upstreams that close idle connections early (resets); could harm, by handshakes, where
-    // traffic that comes seldom fails for a reason of its own.
+    // answered. Those older than the youngest step that fails are closed before a send. Could harm, by
+    // handshakes, where traffic that comes seldom fails for a reason of its own.
     std::size_t renew_links(Upstream& u, Time now) {
         if (!u.linked || u.idle_since == Time{}) return 0;
         const double steps = std::log2(us(now - u.idle_since) / (youngest * longest_t1_us_)) + 1;
@@ -504,8 +511,7 @@
     }
 
     // Guards against connections that suddenly can't be made, or only slowly and at a cost to the upstream:
-    // while many attempts to open one fail, work stays where one is open. Ought to guard as well against full
-    // tables of connections; could harm, by crowding the few, so the memory fades and others are tried again.
+    // while many attempts to open one fail, work stays where one is open. Could crowd the few: so it fades.
     bool links_dear(Time now) const { return refused_links_.now(now, decay_us()) > dear_share; }
 
     bool open_link(const Upstream& u, Time now) const {
@@ -549,6 +555,7 @@
         const bool listed = u.entry.state != UpstreamState::gone;
         const auto ring = listed ? (in_home_zone(u) ? &home_ring_ : &away_ring_) : nullptr;
         if (ring == u.ring) return;
+        if (!ring) readmit(u);  // what has left is not missing
         const auto before = [&](std::size_t a, std::size_t b) {
             return upstreams_[a].turn < upstreams_[b].turn;
         };
@@ -612,8 +619,7 @@
                 std::erase_if(home_, slow);
             }
         }
-        // An upstream where the aim is lost, or that is known to be full at what it holds of ours, is none to
-        // choose; the zone is spilled out of when it has no other.
+        // None to choose: where the aim is lost, or full with ours. If none is left in the zone: spill.
         const double patience = patience_us(r);
         const auto lost = [&](std::size_t i) {
             const Upstream& u = upstreams_[i];
@@ -687,8 +693,7 @@
         }
     }
 
-    // Guards against work that can no longer count and still holds an upstream: where an answer after the aim
-    // is worth nothing, the request ends with its aim. Not for streams, which count once they have begun.
+    // Where an answer after the aim is worth nothing, the request ends with its aim, and holds no upstream.
     Time end_of_worth(const Request& request, Time arrived_at) const {
         const ClassSettings& c = s_.classes[static_cast<std::size_t>(request.class_index)];
         return c.late_worth > 0 || c.streams ? request.deadline : arrived_at + c.aim;
@@ -697,7 +702,6 @@
     // Guards against a stall of this balancer itself (paused, starved, swapped): what came in meanwhile has
     // waited here, and may be past its aim before it is seen. A beat that is overdue tells of the stall, and
     // the time left that a request comes with, short of the longest of its class, how long it has waited.
-    // Could harm clients' last tries, which come with less time: only those that come out of a stall.
     Time arrival(const Request& request, Time now) {
         double& longest = classes_[static_cast<std::size_t>(request.class_index)].left_us;
         const double left = us(request.deadline - now);
@@ -885,8 +889,7 @@
             return;
         }
         // Guards against small waiting rooms that many balancers fill unseen by each other: what was turned
-        // away without having run goes on through the gate without a gap, while it still can be in time. Acts
-        // for the first attempts of a request only.
+        // away without having run goes on through the gate without a gap, for its first attempts only.
         const Micros since = a.sent_at;
         if (!a.may_have_run && r.attempts.size() <= at_once && send_retry(slot, now)) return;
         wait_gap(slot, since, now);
@@ -971,8 +974,8 @@
             case Outcome::ok:
                 u.answered_at = now;
                 learn_rate(u, now);
-                u.strikes = 0;
                 if (u.out) come_back(u, now);
+                u.strikes = 0;
                 return;
             case Outcome::full:  // guards against upstreams that turn everything away, at once and so
                                  // attractively
@@ -985,18 +988,17 @@
                 if (u.answered_at + micros(classes_[c].t1_us) < now) strike(u, 1, now);
                 return;
             case Outcome::connect_failed:
-            case Outcome::reset:
                 u.died = true;
                 strike(u, hard_strikes, now);
                 return;
+            case Outcome::reset: strike(u, 1, now); return;
             default: return;
         }
     }
 
     // Guards against upstreams that fail one class and serve the others as usual, whose answers clear every
     // strike: one that loses most of a class, and far more of it than is lost on the whole, gets none of it
-    // for a while. Ought to guard against any class that one upstream does badly; could harm where most
-    // upstreams fail the class, so the class's own loss sets the measure.
+    // for a while. Could harm where most upstreams fail the class, so its own loss sets the measure.
     void learn_service(Upstream& u, Outcome outcome, std::size_t c, Time now) {
         const bool lost = outcome == Outcome::timeout || outcome == Outcome::error;
         if (!lost && outcome != Outcome::ok) return;
@@ -1013,7 +1015,7 @@
     void strike(Upstream& u, int weight, Time now) {
         u.trial = false;
         u.strikes += weight;
-        if (u.strikes < max_strikes && !u.out) return;
+        if ((u.strikes < max_strikes && !u.out) || !u.ring) return;
         if (!u.out) note(now, "upstream put out", u);
         if (u.out && now < u.out_until) return;
         out_ += !u.out;
@@ -1027,10 +1029,11 @@
         return std::max(first_penalty(), micros(us(s_.ramp_time) * share_of_ramp_out));
     }
 
-    // An upstream whose connections failed may be a new process by now: cold until the list says otherwise.
+    // Failed connections, and again when it was tried: perhaps a new process, cold until the list knows.
     void come_back(Upstream& u, Time now) {
         note(now, "upstream back", u);
-        if (u.died && !(u.cold_since && now - *u.cold_since < s_.ramp_time)) begin_cold(u, now, now);
+        const bool dead = u.died && u.strikes >= max_strikes + hard_strikes;
+        if (dead && !(u.cold_since && now - *u.cold_since < s_.ramp_time)) begin_cold(u, now, now);
         readmit(u);
     }
 
@@ -1182,7 +1185,6 @@
     // Guards against a tenant that crowds out the others: what it sends beyond its share counts
     // `over_share_worth` in the order of shedding. A bucket filled at this balancer's part of the quota
     // tells; the part is the largest that it can have, with as few balancers in its zone as there may be.
-    // Acts where tenants are told with quotas, and only where upstreams are near full.
     double worth_within_share(const Request& request, Time now) {
         if (!request.tenant || static_cast<std::size_t>(*request.tenant) >= shares_.size()) return 1;
         const auto tenant = static_cast<std::size_t>(*request.tenant);
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <random>
+#include <unordered_set>
 
 namespace flaxdoor::net {
 
@@ -231,11 +232,17 @@
 
 void Host::tell_policy(Time now, ListKind kind, const List& list) {
     std::vector<UpstreamEntry> entries;
+    std::unordered_set<UpstreamId> listed;
     for (const auto& u : list.upstreams) {
-        upstreams_.set_address(u.entry.id, u.address);
-        if (u.entry.state == UpstreamState::gone) upstreams_.close_idle(u.entry.id);
         entries.push_back(u.entry);
+        if (u.entry.state == UpstreamState::gone) {
+            upstreams_.remove(u.entry.id);
+        } else {
+            listed.insert(u.entry.id);
+            upstreams_.set_address(u.entry.id, u.address);
+        }
     }
+    if (kind != ListKind::delta) upstreams_.keep_only(listed);
     policy_.on_list(now, kind, entries, list.version);
 }
 
--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::size_t buffer_kept = 16 * 1024;  // on a kept connection
 constexpr int interim_most = 8;     // answers 1xx ahead of the final one
 constexpr float value_most = 1e6F;  // of a load report; what says more, or less than none, knows nothing
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
@@ -58,11 +59,13 @@
     }
 
     UpstreamId upstream() const { return upstream_; }
+    const tcp::endpoint& address() const { return address_; }
     Time idle_since() const { return since_; }
     bool is_quiet() { return buffer_.size() == 0 && quiet(socket_); }
 
     void connect(const tcp::endpoint& address, AttemptKey attempt, std::string bytes, Time expires) {
         begin(attempt, std::move(bytes), expires);
+        address_ = address;
         error_code error;
         socket_.open(address.protocol(), error);
         if (!error) socket_.non_blocking(true, error);
@@ -105,6 +108,7 @@
     void rest() {
         since_ = owner_.clock_.now();
         timer_.cancel();
+        out_ = {};
         if (owner_.limits_.idle <= Micros{0}) return;
         const auto trusted = static_cast<double>(owner_.limits_.idle.count()) * idle_share;
         arm(since_ + Micros(std::llround(trusted)));
@@ -216,6 +220,7 @@
         attempt_.reset();
         owner_.attempts_.erase(attempt);
         if (reusable) {
+            if (buffer_.capacity() > buffer_kept) buffer_.shrink_to_fit();
             read();
             owner_.keep(self);
         } else {
@@ -236,6 +241,7 @@
 
     Upstreams& owner_;
     const UpstreamId upstream_;
+    tcp::endpoint address_;
     tcp::socket socket_;
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
@@ -274,6 +280,19 @@
     pool->second.idle.clear();
 }
 
+void Upstreams::remove(UpstreamId upstream) {
+    close_idle(upstream);
+    pools_.erase(upstream);
+}
+
+void Upstreams::keep_only(const std::unordered_set<UpstreamId>& listed) {
+    std::vector<UpstreamId> left;
+    for (const auto& [upstream, pool] : pools_) {
+        if (!listed.contains(upstream)) left.push_back(upstream);
+    }
+    for (const UpstreamId upstream : left) remove(upstream);
+}
+
 std::size_t Upstreams::idle(UpstreamId upstream) const {
     const auto pool = pools_.find(upstream);
     return pool == pools_.end() ? 0 : pool->second.idle.size();
@@ -331,14 +350,22 @@
     link->cancel();
 }
 
+// Guards against connections of an upstream that has gone or moved: none may serve whoever comes after it.
 void Upstreams::keep(const Link& link) {
+    const auto pool = pools_.find(link->upstream());
+    if (pool == pools_.end() || pool->second.address != link->address()) {
+        link->close();
+        return;
+    }
     link->rest();
-    pools_[link->upstream()].idle.push_back(link);
+    pool->second.idle.push_back(link);
 }
 
 void Upstreams::forget(const Link& link) {
     const Link held = link;
-    std::erase(pools_[held->upstream()].idle, held);
+    if (const auto pool = pools_.find(held->upstream()); pool != pools_.end()) {
+        std::erase(pool->second.idle, held);
+    }
     held->close();
 }
 
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "flaxdoor/decide.h"
@@ -54,12 +55,16 @@
 
     void set_address(UpstreamId upstream, const boost::asio::ip::tcp::endpoint& address);
     void close_idle(UpstreamId upstream);
+    // Gone: what is under way there ends by itself, and nothing is kept.
+    void remove(UpstreamId upstream);
+    void keep_only(const std::unordered_set<UpstreamId>& listed);
     // Sends the request once; what has not come by `expires` is given up.
     void send(AttemptKey attempt, UpstreamId upstream, HttpRequest request, Time expires);
     void cancel(AttemptKey attempt);
     void stop();
 
     std::size_t idle(UpstreamId upstream) const;
+    std::size_t known() const { return pools_.size(); }
 
 private:
     class Connection;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -599,6 +599,38 @@
     for (const auto& service : services) EXPECT_EQ(service->wires.size(), 1U);
 }
 
+// Nothing of an upstream that has gone is kept, and whoever comes to its address is met anew.
+TEST(Discovery, WhoHasLeftIsLetGoOf) {
+    for (const bool whole : {true, false}) {
+        Stage s(1);
+        s.start();
+        auto& calls = s.discovery.wires;
+        s.until([&] { return !calls.empty() && has(calls[0]->in, "\r\n\r\n"); });
+        const auto client = s.client();
+        const auto other = s.client();
+        client->say(look(5000, "kept"));
+        const auto idle = s.request().first;
+        other->say(look(5000, "under-way"));
+        const auto busy = s.request().first;
+        idle->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+        json news = s.list(9, whole);
+        news["hosts"] = {s.upstream(0)};
+        news["hosts"][0]["host"] = "s-new";
+        if (!whole) news["hosts"].push_back(s.upstream(0, "left"));
+        calls[0]->say(watch_head + chunk(news.dump() + "\n"));
+        s.until([&] { return idle->ended; });
+        EXPECT_FALSE(busy->ended);
+        busy->say(ok("to the end"));
+        EXPECT_TRUE(has(s.answer(*other), "to the end"));
+        s.until([&] { return busy->ended; });
+        client->say(look());
+        s.request().first->say(ok());
+        EXPECT_EQ(status(s.answer(*client)), 200);
+        EXPECT_EQ(s.connections(), 3U);
+    }
+}
+
 // All balancers must give an upstream the same id: the policy's order of upstreams rests on it.
 TEST(Discovery, IdsComeFromNamesAlone) {
     EXPECT_EQ(net::id_of("s-5be2a07c"), net::id_of("s-5be2a07c"));
