--- a/src/net/upstreams.cpp
+++ b/src/net/upstreams.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t buffer_kept = 16 * 1024;  // on a kept connection
-constexpr int interim_most = 8;     // answers 1xx ahead of the final one
+constexpr int interim_most = 8;                 // answers 1xx ahead of the final one
 constexpr float value_most = 1e6F;  // of a load report; what says more, or less than none, knows nothing
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 
