Module: fewer balancers keep less free, originals wait a longer gap outside a jam

The probe of turned-away requests said where: at the limit of what the class may hold at each upstream, or with the room used, with 2 balancers and most of what upstreams hold in flight known to us. Cause: least_patience and most_crowding leave room free for what many balancers send unseen, and turn_away refused unless the first gap ended within half of the aim.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,11 +29,10 @@
 constexpr double delay_weight = 0.1;  // w_q: least weight of a new delay sample, the paper's value
 constexpr double gate_low = 0.2;      // q_min as a share of T1: below it every retry passes
 constexpr double gate_high = 1.0;     // q_max as a share of T1: above it none does
-// Both are so much lower for a copy of an attempt that still runs (0.1 to 1 tried: the less the better).
-constexpr double copy_share = 0.03;
-constexpr double t1_deviations = 4;  // T1 = usual latency + so many mean deviations, as TCP's timer does,
-constexpr double t1_least = 0.25;    //   but at least this share of the aim
-constexpr double t1_most = 0.8;      //   and at most this one (0.5: retries far too early; 1: no better)
+constexpr double copy_share = 0.03;   // of both, for a copy of one that runs (0.1 to 1 tried)
+constexpr double t1_deviations = 4;   // T1 = usual latency + so many mean deviations, as TCP's timer does,
+constexpr double t1_least = 0.25;     //   but at least this share of the aim
+constexpr double t1_most = 0.8;       //   and at most this one (0.5: retries far too early; 1: no better)
 constexpr double latency_weight = 1.0 / 64;  // weight of one answer in the usual latency of a class
 constexpr int max_strikes = 4;               // failures in a row that put an upstream out
 constexpr int hard_strikes = 2;              // a failed connection counts so many
@@ -45,25 +44,25 @@
 // What may be in flight at one upstream: attempts, learned.
 constexpr double first_limit = 2;          // before anything is known of it (1 tried: no better)
 constexpr double limit_growth = 1.0 / 32;  // step up by an answer at the limit, down by one from a crowd
-// What all of our attempts may be, cut only in a jam.
-// Cut from so many base latencies (1.6, 1.8 tried: busy days are refused; 2.3: jams stay).
-constexpr double most_crowding = 2;
+// What all of ours may be: cut from so many base latencies (1.8 tried: refusals; 2.3 for many: jams).
+constexpr double most_crowding = 2, most_crowding_alone = 2.6;
 constexpr double crowding_weight = 1.0 / 32;  // weight of an answer in that (1/16: false cuts; 1/64: late)
 constexpr double crowding_cap = 4;            // the most that one counts for (3, 6 tried)
-constexpr double full_crowding = 6;   // what a full refusal or a time-out counts for (3, 4 tried: jams
-                                      //   stay; 15: quiet days refused; 4 for time-outs: cut late)
+constexpr double full_crowding =
+    6;  // a full refusal or a time-out counts so much (4: jams stay; 15: quiet days refused)
 constexpr double room_cut = 0.7;      // what a cut leaves (0.5, 0.8 tried)
 constexpr double room_growth = 0.25;  // step up, shared as below (0.12, 0.5, 1 tried)
 constexpr double fair_share = 2;      // least room, attempts an upstream shared among balancers (1, 3 tried)
 constexpr double crowd = 3;  // an answer that took so many base latencies comes from a crowd (2 tried)
 constexpr double base_guess = 1.0 / 3;  // of the aim: base latency of a class before it is known
 constexpr double base_creep = 3e-4;     // rise of the base latency by an answer (1e-3 tried: learns jams)
-// Who is sent at all: shares of the aim or of the time between a lone latency and the aim.
-constexpr double aim_margin = 0.5;   // of that time, what waiting may use (0.35, 0.7 tried)
+constexpr double aim_margin =
+    0.5;  // of the time from a lone latency to the aim, for waiting (0.35, 0.7 tried)
 constexpr double most_lone = 0.75;   // of the aim, what a lone latency may take (0.5 tried: starves)
 constexpr double least_slope = 0.5;  // flattest line of latency over our own load, as a share of proportion
-constexpr double least_patience = 0.5;  // of a denser class's aim, what others may use (0.25, 0.75 tried)
-constexpr std::size_t at_once = 2;      // first attempts after which what never ran waits no gap (1 tried)
+// Of a denser class's aim, what others may use at least (0.25 tried; 0.6 with many balancers: overload tips).
+constexpr double least_patience = 0.5, least_patience_alone = 0.75;
+constexpr std::size_t at_once = 2;  // first attempts after which what never ran waits no gap (1 tried)
 // A balancer's share of a zone.
 constexpr double hearings = 8;                 // answers that it should get from each before it forgets
 constexpr double coverage = 2;                 // shares that an upstream should be in at least
@@ -80,10 +79,12 @@
 constexpr double dear_share = 0.1;    // of new connections that fail: keep to open ones (0.25 tried: late)
 constexpr double stale_t1s = 32;      // a step is tried again after so many longest T1s
 // Time constants, in longest T1s or as shares of told times.
-constexpr double decay_t1s = 4;      // without news, delay and what goes with it decay over so many
-constexpr double news_t1s = 1;       // for a copy, news of an upstream counts so long (4: copies still cost)
-constexpr double silence_t1s = 2;    // an upstream that answers nothing for so many is silent
-constexpr double early_share = 0.5;  // of the aim: an original may wait a gap that ends before it
+constexpr double decay_t1s = 4;    // without news, delay and what goes with it decay over so many
+constexpr double news_t1s = 1;     // for a copy, news of an upstream counts so long (4: copies still cost)
+constexpr double silence_t1s = 2;  // an upstream that answers nothing for so many is silent
+// Of the aim, before which a gap may end that an original waits out: in a jam, and else (1 tried: no better).
+constexpr double early_share_jam = 0.5, early_share = 0.8;
+constexpr double early_most = 0.45;  // of the client's time: to be refused later, unsent, costs it more
 constexpr double beat_t1s = 0.25;    // gap between beats, by which a stall of our own is seen
 constexpr double left_creep = 1e-3;  // fall, by a request, of the longest time that clients leave us
 constexpr double ask_share = 0.1;    // of ask_within: first gap after a failed call, and spread at start
@@ -98,7 +99,7 @@
     return value * std::exp(-us(now - then) / span_us);
 }
 
-// A smoothed share that is forgotten as time goes by.
+// A smoothed value that is forgotten as time goes by.
 struct Share {
     double value = 0;
     Time at{};
@@ -398,12 +399,13 @@
             return;
         }
         crowding_ += crowding_weight * (sample - crowding_);
-        if (crowding_ > most_crowding) {
+        const double most = for_so_many(most_crowding, most_crowding_alone);
+        if (crowding_ > most) {
             const double held = std::max(held_, static_cast<double>(in_flight_));
             room_ = std::max(part_of_fleet(fair_share), std::min(room_, held) * room_cut);
             cut_at_ = now;
             crowding_ = 1;
-        } else if (sample <= most_crowding && in_flight_ + 1 > room_ * least_patience) {
+        } else if (sample <= most && in_flight_ + 1 > room_ * least_patience) {
             room_ += std::min(1.0, part_of_fleet(room_growth)) / room_;
         }
     }
@@ -411,8 +413,7 @@
     // So many attempts an upstream, shared among the balancers.
     double part_of_fleet(double each) const { return each * std::max(1, ready_) / s_.balancers; }
 
-    // Guards against a start into a crowd, which would teach its latencies as the base ones: until a first
-    // answer is learned from, all balancers together hold few enough for the fleet.
+    // Guards against a start into a crowd, which would teach its latencies as the base ones.
     double room() const { return room_ > 0 ? room_ : part_of_fleet(fair_share); }
 
     // Is all that these requests may have of the room in use? With many balancers the room is an attempt or
@@ -492,8 +493,7 @@
 
     // Guards against idle connections that something between drops unseen: what is sent on one gets no
     // answer. Told from silent upstreams by the age of the connection: old ones fail, young and new ones are
-    // answered. Those older than the youngest step that fails are closed before a send. Could harm, by
-    // handshakes, where traffic that comes seldom fails for a reason of its own.
+    // answered. Those older than the youngest step that fails are closed before a send.
     std::size_t renew_links(Upstream& u, Time now) {
         if (!u.linked || u.idle_since == Time{}) return 0;
         const double steps = std::log2(us(now - u.idle_since) / (youngest * longest_t1_us_)) + 1;
@@ -593,7 +593,8 @@
         const double share = precedence(r);
         home_.clear();
         away_.clear();
-        if (room_used(room() * share)) return;
+        jammed_ = room_used(room() * share);
+        if (jammed_) return;
         const bool by_key = drawn_by_key(r.request.key);
         const auto gather_away = [&](bool lenient) {
             if (away_.empty()) gather(away_ring_, away_, c, now, by_key, lenient, allowed);
@@ -962,8 +963,7 @@
     // Gets ordinary traffic: not put out, and not silent while work of ours is waiting there.
     bool fit(const Upstream& u, Time now) const { return !u.out && !silent(u, now); }
 
-    // Guards against upstreams that take work and answer none: seen after two of the longest T1 without any
-    // answer.
+    // Guards against upstreams that take work and answer none: two of the longest T1 without an answer.
     bool silent(const Upstream& u, Time now) const {
         return u.in_flight > 1 &&
                us(now - std::max(u.answered_at, u.busy_since)) > silence_t1s * longest_t1_us_;
@@ -1131,13 +1131,12 @@
 
     // Answers a second that a warm upstream gives this balancer: those of the same kind in the zone, or in
     // the others, else all there. Guards against balancers that each use a few: those that one never uses
-    // count as well, or all budgets together are as many times too large. Counted anew a few times in a fall
-    // span.
+    // count as well, or all budgets together are as many times too large.
     double warm_rate(const Upstream& like, Time now) {
         const auto kind = 2 * static_cast<std::size_t>(std::max(0, like.entry.kind)) + in_home_zone(like);
         if (warm_rates_.size() <= kind) warm_rates_.resize(kind + 1);
-        WarmRate& known = warm_rates_[kind];
-        if (known.at > Time{} && now - known.at < s_.fall_span / 8) return known.per_s;
+        Share& known = warm_rates_[kind];
+        if (known.at > Time{} && now - known.at < s_.fall_span / 8) return known.value;
         double sum[2] = {0, 0};
         int count[2] = {0, 0};
         for (const auto& u : upstreams_) {
@@ -1149,7 +1148,7 @@
             ++count[same];
         }
         known = {count[1] > 0 ? sum[1] / count[1] : count[0] > 0 ? sum[0] / count[0] : 0, now};
-        return known.per_s;
+        return known.value;
     }
 
     // ------------------------------------------------------------------------------------- 7. refusal
@@ -1199,10 +1198,14 @@
     }
 
     // What a class may use of that which a denser one needs.
-    static double share_beside(double density, double denser) {
-        return least_patience + (1 - least_patience) * density / denser;
+    double share_beside(double density, double denser) const {
+        const double least = for_so_many(least_patience, least_patience_alone);
+        return least + (1 - least) * density / denser;
     }
 
+    // The fewer balancers there are, the more of what upstreams hold is ours and known: less is kept free.
+    double for_so_many(double many, double alone) const { return many + (alone - many) / s_.balancers; }
+
     // Worth for the work: latency stands for the work, as waiting is the same for all. A class not yet
     // answered counts as the longest that it may usefully take, or it would keep room from all others.
     double density(std::size_t c) const {
@@ -1216,8 +1219,9 @@
     // gated retry if it can still be in time after that, else it is refused while that is cheap.
     void turn_away(std::size_t slot, Time now) {
         const Open& r = open_[slot];
-        if (upstreams_.empty() ||
-            us(now - r.arrived_at + gap(r)) < us(s_.classes[class_of(r)].aim) * early_share) {
+        const double early = us(s_.classes[class_of(r)].aim) * (jammed_ ? early_share_jam : early_share);
+        const double most = std::min(early, us(r.request.deadline - r.arrived_at) * early_most);
+        if (upstreams_.empty() || us(now - r.arrived_at + gap(r)) < most) {
             wait_gap(slot, now, now);
         } else {
             finish(slot);
@@ -1286,6 +1290,7 @@
     double arrivals_ = 0;                             // requests within what is remembered, decaying
     Time arrival_at_{};
 
+    bool jammed_ = false;  // the last choice found the room used
     int ready_ = 0;        // upstreams listed and not put out
     int in_flight_ = 0;    // attempts of ours at fit upstreams at the last choice
     double crowding_ = 1;  // smoothed latency as a multiple of the base latency, since the last cut
@@ -1293,11 +1298,7 @@
     double room_ = 0;      // what in_flight_ may be; 0: not yet known
     double held_ = 0;      // in_flight_, smoothed
     Time held_at_{};
-    struct WarmRate {
-        double per_s = 0;
-        Time at{};
-    };
-    std::vector<WarmRate> warm_rates_;    // by kind and side
+    std::vector<Share> warm_rates_;       // answers a second, by kind and side
     Share refused_links_;                 // of attempts to open a connection, those that failed
     std::array<Share, ages> unanswered_;  // what got no answer, by the age of its connection
     std::vector<ClassState> classes_;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1067,6 +1067,20 @@
     EXPECT_EQ(rig.served_wave(unsafe, 20, ms(4)), 20u);
 }
 
+// Guards against a refusal that comes late and with nothing sent: the client has lost the time to ask
+// elsewhere.
+TEST(Refusal, AnOriginalWaitsNoLongerThanItsClientCanSpare) {
+    for (const long left : {1000, 100}) {
+        Rig rig;
+        rig.list(ListKind::full, {Rig::entry(1, 0, UpstreamState::draining)});
+        const auto id = rig.request(safe, ms(left));
+        const auto asked = rig.now;
+        while (rig.sink.answers(id) == 0) rig.run(rig.now + ms(1));
+        EXPECT_EQ(rig.sink.sends(id), 0U);
+        EXPECT_LE(rig.now - asked, std::min(ms(left) * 45 / 100, ms(80)));
+    }
+}
+
 // Guards against a long day on which every upstream that ever died and left counts as missing: the fleet
 // would seem smaller and smaller, and the room with it.
 TEST(Refusal, WhoHasLeftIsNotMissed) {
