PostgreSQL: codec, machines, pooling, front and back behind the same module

Need: drive coordinators' connections to records databases bypass the balancer: a draining database goes on being hit, and who loses one in a transaction guesses. Change: src/pg: a codec without I/O, machines for both sides, a session that cuts what a client says into units (one call of the core each, a transaction as a whole) and knows from byte offsets what a lost server may have run; a pool; a front and a back round them. src/tls: OpenSSL without sockets. src/sides: the engine takes further fronts from the program that makes it, so the library needs neither OpenSSL nor libpg_query. [postgres] and its rows in the operator's file, off by default; flaxdoor check looks at the files named there.

--- a/include/flaxdoor/balancer.h
+++ b/include/flaxdoor/balancer.h
@@ -55,6 +55,10 @@
 
 namespace flaxdoor {
 
+namespace detail {
+struct Sides;
+}
+
 // ---------------------------------------------------------------------------------------------- results
 
 // What became of a call, by what its caller may do.
@@ -175,7 +179,8 @@
     // Without a listener of its own: async_drain() denies readiness at once, and calls are still taken for so
     // long. For a host whose clients come by async_serve(), and hear of readiness only later.
     Micros keep_taking{};
-    std::string operators;  // text of an operator's file (TOML); empty: all defaults
+    std::string operators;                       // text of an operator's file (TOML); empty: all defaults
+    std::shared_ptr<const detail::Sides> sides;  // for the daemon: what it serves beside HTTP
     // Sinks, called on the executor (and from the constructor) with the instance's name; null: none. They
     // must not call the instance. What one throws is dropped: no call pays for a line.
     std::function<void(std::string_view instance, std::string_view line)> log;
--- a/src/apps/balancer.cpp
+++ b/src/apps/balancer.cpp
@@ -20,6 +20,7 @@
 #include "loop/line_log.h"
 #include "settings/product.h"
 #include "settings/reader.h"
+#include "sides/postgres.h"
 
 namespace {
 
@@ -158,6 +159,8 @@
         Operators operators(operators_path, log);
         BalancerOptions options = configuration(log);
         options.operators = operators.text();
+        options.sides = std::make_shared<const flaxdoor::detail::Sides>(
+            flaxdoor::detail::Sides{{flaxdoor::sides::postgres()}});
         Balancer balancer(loop.get_executor(), options);
         signals.pass_to(balancer, operators);
         loop.run();
--- a/src/apps/flaxdoor.cpp
+++ b/src/apps/flaxdoor.cpp
@@ -13,6 +13,7 @@
 #include "settings/page.h"
 #include "settings/product.h"
 #include "settings/reader.h"
+#include "sides/postgres.h"
 
 namespace {
 
@@ -43,7 +44,12 @@
 }
 
 int check(const std::string& file, bool json) {
-    const Reading reading = read_file(file, product_schema());
+    Reading reading = read_file(file, product_schema());
+    // What it names is looked at, too.
+    if (const auto* const values = std::get_if<Values>(&reading); values && values->given("postgres")) {
+        auto made = flaxdoor::sides::postgres_options(*values, 0);
+        if (auto* const found = std::get_if<Faults>(&made)) reading = std::move(*found);
+    }
     const Faults* const faults = std::get_if<Faults>(&reading);
     const std::size_t settings = faults ? 0 : std::get<Values>(reading).count_given();
     if (json) {
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "engine/keeper.h"
+#include "engine/side.h"
 #include "http/back.h"
 #include "http/front.h"
 #include "loop/alarm.h"
@@ -96,7 +97,8 @@
 class Engine::Impl {
 public:
     Impl(const loop::Executor& executor, core::Log& log, EngineOptions options)
-        : log_(log),
+        : executor_(executor),
+          log_(log),
           config_(std::move(options.config)),
           operators_(std::move(options.operators)),
           open_calls_(options.open_calls),
@@ -131,6 +133,7 @@
             front_ = std::make_unique<http::Front>(executor, core_, pool_, clock_,
                                                    front_limits(operators_, sockets_, for_clients_));
         }
+        begin_sides(options.sides);
         use_operators();
         if (roster_ && !config_.settings.must_ask_list) roster_->watch();
         if (!front_) return;
@@ -140,6 +143,7 @@
 
     ~Impl() {
         front_.reset();  // it leaves what is open
+        sides_.clear();
         core_.remove_pool(pool_);
     }
 
@@ -180,7 +184,9 @@
         }
         operators_ = std::move(reload.values);
         use_operators();
-        return true;
+        bool all = true;
+        for (const auto& side : sides_) all = side->change(operators_) && all;
+        return all;
     }
 
     void take_list(core::MemberList list) {
@@ -195,8 +201,10 @@
         log_.line("draining");
         Micros longest{};
         for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
+        for (const auto& side : sides_) longest = std::max(longest, side->longest_deadline());
         const Micros keep_accepting = front_ ? keep_accepting_ : keep_taking_;
         if (front_) front_->begin_drain();
+        for (const auto& side : sides_) side->begin_drain();
         drain_end_ = clock_.now() + keep_accepting + longest + end_slack_;
         wind_down_after(keep_accepting);
     }
@@ -219,6 +227,18 @@
         end_slack_ = operators_.get(settings::drain::end_slack);
     }
 
+    void begin_sides(const std::vector<SideMaker>& makers) {
+        for (const SideMaker& maker : makers) {
+            if (!operators_.given(maker.table)) continue;
+            sides_.push_back(maker.make({executor_, core_, clock_, log_, operators_, config_.seed}));
+        }
+        // Guards against a table that is thought to do something and does not.
+        const bool served =
+            std::any_of(makers.begin(), makers.end(), [](const auto& m) { return m.table == "postgres"; });
+        if (operators_.given("postgres") && !served)
+            throw std::invalid_argument("[postgres] is served by the daemon only");
+    }
+
     void wind_down_after(Micros wait) {
         timer_.expires_after(wait);
         timer_.async_wait(alive_.guard([this](error_code error) {
@@ -242,9 +262,11 @@
         if (keeper_) keeper_->finish(end);
         core_.remove_pool(pool_);  // answers all that is still open, while there is a front to tell it
         if (front_) front_->stop();
+        for (const auto& side : sides_) side->stop();
         if (!keeper_) end();
     }
 
+    const loop::Executor executor_;
     core::Log& log_;
     Config config_;
     settings::Values operators_;
@@ -263,6 +285,7 @@
     std::unique_ptr<membership::Roster> roster_;
     core::PoolId pool_ = 0;
     std::unique_ptr<http::Front> front_;
+    std::vector<std::unique_ptr<Side>> sides_;
     boost::asio::steady_timer timer_;
     bool draining_ = false;
     Time drain_end_{};
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -16,6 +16,7 @@
 
 #include "core/core.h"
 #include "engine/config.h"
+#include "engine/side.h"
 #include "loop/executor.h"
 #include "settings/values.h"
 #include "store/store.h"
@@ -33,6 +34,8 @@
     Micros keep_taking{};
     // How the store's folder is opened, where the operator's file has a store.
     store::Store::OpenFolder open_folder = store::open_folder;
+    // Further fronts, each turned on by its table of the operator's file.
+    std::vector<SideMaker> sides{};
 };
 
 class Engine {
--- a/src/library/instance.cpp
+++ b/src/library/instance.cpp
@@ -261,6 +261,7 @@
     engine::EngineOptions its{config_of(options),         operators_of(options), !options.listen.empty(),
                               !options.discovery.empty(), open_calls_,           options.keep_taking};
     its.config.seed = seed_;
+    if (options.sides) its.sides = options.sides->makers;
     engine_ = std::make_unique<engine::Engine>(executor_, *this, std::move(its));
     if (const auto listens = engine_->address()) address_ = loop::text_of(*listens);
 }
--- /dev/null
+++ b/src/pg/service.cpp
@@ -0,0 +1,76 @@
+#include "pg/service.h"
+
+#include <algorithm>
+
+namespace flaxdoor::pg {
+
+Service::Service(const loop::Executor& executor, core::Core& core, const loop::Clock& clock,
+                 ServiceOptions options)
+    : core_(core), gate_(options.logins_at_once), secrets_(std::move(options.secrets)) {
+    budget_.most = options.servers_most;
+    try {
+        for (DatabaseOptions& each : options.databases) {
+            Database& database = databases_[each.name];
+            database.back = std::make_unique<Back>(executor, core_, clock, gate_, budget_, secrets_,
+                                                   std::move(each.back));
+            database.back->on_login_end([this] {
+                for (auto& [name, other] : databases_) other.back->on_gate();
+            });
+            database.pool = core_.add_pool({"postgres/" + each.name, each.settings, options.seed},
+                                           *database.back, nullptr);
+            tell_members(database, std::move(each.members));
+            give_front(options.front, each, database);
+        }
+        front_ = std::make_unique<Front>(executor, core_, clock, std::move(options.front));
+        front_->listen(options.listen);
+    } catch (...) {
+        for (auto& [name, database] : databases_) {
+            if (database.pool) core_.remove_pool(database.pool);
+        }
+        throw;
+    }
+}
+
+Service::~Service() {
+    front_->stop();
+    front_.reset();
+    for (auto& [name, database] : databases_) core_.remove_pool(database.pool);
+}
+
+void Service::change(ServiceOptions options) {
+    gate_.set_most(options.logins_at_once);
+    budget_.most = options.servers_most;
+    for (auto& [user, secret] : options.secrets) {
+        ScramSecret& known = secrets_[user];
+        if (known.password != secret.password) known = secret;
+    }
+    FrontOptions front = std::move(options.front);
+    for (DatabaseOptions& each : options.databases) {
+        const auto found = databases_.find(each.name);
+        if (found == databases_.end()) continue;
+        Database& database = found->second;
+        core_.change_pool(database.pool, each.settings);
+        give_front(front, each, database);
+        database.back->set_options(std::move(each.back));
+        tell_members(database, std::move(each.members));
+    }
+    front_->set_options(std::move(front));
+}
+
+void Service::give_front(FrontOptions& front, DatabaseOptions& options, Database& database) {
+    FrontDatabase its = options.front;
+    longest_ = std::max(longest_, its.deadline);
+    its.pool = database.pool;
+    its.back = database.back.get();
+    front.databases[options.name] = std::make_shared<const FrontDatabase>(std::move(its));
+}
+
+void Service::tell_members(Database& database, std::vector<core::Member> members) {
+    core::MemberList list;
+    list.kind = ListKind::full;
+    list.version = ++database.version;
+    list.members = std::move(members);
+    core_.on_list(database.pool, std::move(list));
+}
+
+}  // namespace flaxdoor::pg
--- a/src/settings/product.cpp
+++ b/src/settings/product.cpp
@@ -4,13 +4,17 @@
 #include "settings/tables/drain.h"
 #include "settings/tables/http.h"
 #include "settings/tables/membership.h"
+#include "settings/tables/postgres.h"
 #include "settings/tables/store.h"
 
 namespace flaxdoor::settings {
 
 // The one place that knows all subsystems: each adds its table here, in the order of the page.
 Schema product_schema() {
-    return Schema({http::table(), core::table(), drain::table(), membership::table(), store::table()});
+    return Schema(
+        {http::table(), core::table(), drain::table(), membership::table(), store::table(), postgres::table(),
+         postgres::server_table(), postgres::database_table(), postgres::user_table()},
+        postgres::checks());
 }
 
 }  // namespace flaxdoor::settings
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -362,7 +362,9 @@
         }
     }
     const auto objection = check.run(values);
-    if (objection) faults.add({blamed ? blamed->key : Position{}, objection->what, key, objection->mend});
+    if (!objection) return;
+    const Position first = blamed ? blamed->key : Position{};
+    faults.add({objection->at.line > 0 ? objection->at : first, objection->what, key, objection->mend});
 }
 
 void run_checks(const Values& values, Faults& faults) {
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -52,6 +52,7 @@
 struct Objection {
     std::string what;
     std::string mend;
+    Position at{};  // where it is clear which of several rows is meant
 };
 
 // Between keys of one table. It runs only when none of `keys` has a fault of its own. The fault is placed at
--- /dev/null
+++ b/src/tls/tls.cpp
@@ -0,0 +1,198 @@
+#include "tls/tls.h"
+
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <openssl/x509v3.h>
+
+#include <array>
+#include <utility>
+
+namespace flaxdoor::tls {
+
+namespace {
+
+std::string reason() {
+    std::string text;
+    while (const unsigned long code = ERR_get_error()) {
+        const char* const why = ERR_reason_error_string(code);
+        if (text.empty()) text = why ? why : "error " + std::to_string(code);
+    }
+    return text.empty() ? "unknown error" : text;
+}
+
+using OwnedContext = std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)>;
+using Owned = std::unique_ptr<SSL, decltype(&SSL_free)>;
+
+OwnedContext make(const SSL_METHOD* method) {
+    OwnedContext context(SSL_CTX_new(method), SSL_CTX_free);
+    if (!context) throw Error("", "TLS: " + reason());
+    SSL_CTX_set_min_proto_version(context.get(), TLS1_2_VERSION);
+    SSL_CTX_set_mode(context.get(), SSL_MODE_RELEASE_BUFFERS);  // an idle connection holds none
+    return context;
+}
+
+}  // namespace
+
+struct Context::Impl {
+    OwnedContext context;
+};
+
+Context::Context(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Context::~Context() = default;
+
+std::shared_ptr<const Context> Context::for_clients(const std::string& certificate_file,
+                                                    const std::string& key_file) {
+    OwnedContext made = make(TLS_server_method());
+    ERR_clear_error();
+    if (SSL_CTX_use_certificate_chain_file(made.get(), certificate_file.c_str()) != 1) {
+        throw Error(certificate_file, "no certificate can be read: " + reason());
+    }
+    if (SSL_CTX_use_PrivateKey_file(made.get(), key_file.c_str(), SSL_FILETYPE_PEM) != 1) {
+        throw Error(key_file, "no private key can be read: " + reason());
+    }
+    if (SSL_CTX_check_private_key(made.get()) != 1) {
+        throw Error(key_file, "the key is not the certificate's: " + reason());
+    }
+    return std::shared_ptr<const Context>(new Context(std::make_unique<Impl>(Impl{std::move(made)})));
+}
+
+std::shared_ptr<const Context> Context::for_servers(const std::string& authorities_file) {
+    OwnedContext made = make(TLS_client_method());
+    ERR_clear_error();
+    const int read = authorities_file.empty()
+                         ? SSL_CTX_set_default_verify_paths(made.get())
+                         : SSL_CTX_load_verify_locations(made.get(), authorities_file.c_str(), nullptr);
+    if (read != 1) throw Error(authorities_file, "no authorities can be read: " + reason());
+    return std::shared_ptr<const Context>(new Context(std::make_unique<Impl>(Impl{std::move(made)})));
+}
+
+struct Channel::Impl {
+    explicit Impl(std::shared_ptr<const Context> from)
+        : context(std::move(from)), ssl(SSL_new(context->impl_->context.get()), SSL_free) {
+        if (!ssl) throw std::bad_alloc();
+        in = BIO_new(BIO_s_mem());
+        out = BIO_new(BIO_s_mem());
+        if (!in || !out) throw std::bad_alloc();
+        SSL_set_bio(ssl.get(), in, out);
+    }
+
+    // Carries on with whatever is possible now.
+    void go_on() {
+        if (failed || ended) return;
+        ERR_clear_error();
+        if (!SSL_is_init_finished(ssl.get()) && !settled(SSL_do_handshake(ssl.get()))) return;
+        if (!SSL_is_init_finished(ssl.get())) return;
+        send_waiting();
+        std::array<char, 16 << 10> room;
+        while (!failed) {
+            const int got = SSL_read(ssl.get(), room.data(), static_cast<int>(room.size()));
+            if (got > 0) {
+                plain.append(room.data(), static_cast<std::size_t>(got));
+                continue;
+            }
+            if (SSL_get_error(ssl.get(), got) == SSL_ERROR_ZERO_RETURN) {
+                ended = true;
+                return;
+            }
+            if (!settled(got)) return;
+            return;
+        }
+    }
+
+    void send_waiting() {
+        while (!waiting.empty() && !failed) {
+            const int sent = SSL_write(ssl.get(), waiting.data(),
+                                       static_cast<int>(std::min<std::size_t>(waiting.size(), 1 << 20)));
+            if (sent <= 0) {
+                (void)settled(sent);
+                return;
+            }
+            waiting.erase(0, static_cast<std::size_t>(sent));
+        }
+    }
+
+    // False: it has failed.
+    bool settled(int result) {
+        if (result > 0) return true;
+        const int why = SSL_get_error(ssl.get(), result);
+        if (why == SSL_ERROR_WANT_READ || why == SSL_ERROR_WANT_WRITE) return true;
+        failed = true;
+        const long verified = SSL_get_verify_result(ssl.get());
+        error = verified != X509_V_OK ? X509_verify_cert_error_string(verified) : reason();
+        return false;
+    }
+
+    void fetch_output() {
+        char* bytes = nullptr;
+        const long size = BIO_get_mem_data(out, &bytes);
+        if (size <= 0) return;
+        output.append(bytes, static_cast<std::size_t>(size));
+        (void)BIO_reset(out);
+    }
+
+    std::shared_ptr<const Context> context;
+    Owned ssl;
+    BIO* in = nullptr;  // both belong to the SSL
+    BIO* out = nullptr;
+    std::string plain, waiting, output, error;
+    bool failed = false, ended = false;
+};
+
+Channel::Channel(std::shared_ptr<const Context> context) : impl_(std::make_unique<Impl>(std::move(context))) {
+    SSL_set_accept_state(impl_->ssl.get());
+}
+
+Channel::Channel(std::shared_ptr<const Context> context, const std::string& name)
+    : impl_(std::make_unique<Impl>(std::move(context))) {
+    SSL* const ssl = impl_->ssl.get();
+    SSL_set_connect_state(ssl);
+    if (!name.empty()) {
+        SSL_set_verify(ssl, SSL_VERIFY_PEER, nullptr);
+        X509_VERIFY_PARAM* const wanted = SSL_get0_param(ssl);
+        if (X509_VERIFY_PARAM_set1_ip_asc(wanted, name.c_str()) != 1) {
+            X509_VERIFY_PARAM_set_hostflags(wanted, X509_CHECK_FLAG_NO_PARTIAL_WILDCARDS);
+            X509_VERIFY_PARAM_set1_host(wanted, name.c_str(), name.size());
+            SSL_set_tlsext_host_name(ssl, name.c_str());
+        }
+    }
+    impl_->go_on();
+}
+
+Channel::~Channel() = default;
+
+bool Channel::receive(std::string_view bytes) {
+    while (!bytes.empty() && !impl_->failed && !impl_->ended) {
+        const int taken = BIO_write(impl_->in, bytes.data(),
+                                    static_cast<int>(std::min<std::size_t>(bytes.size(), 1 << 20)));
+        if (taken <= 0) throw std::bad_alloc();
+        bytes.remove_prefix(static_cast<std::size_t>(taken));
+        impl_->go_on();
+    }
+    return !impl_->failed && !impl_->ended;
+}
+
+std::string Channel::take_plain() { return std::exchange(impl_->plain, {}); }
+
+void Channel::send(std::string_view plain) {
+    impl_->waiting += plain;
+    impl_->go_on();
+}
+
+std::string_view Channel::output() {
+    impl_->fetch_output();
+    return impl_->output;
+}
+void Channel::wrote(std::size_t bytes) { impl_->output.erase(0, bytes); }
+
+void Channel::finish() {
+    if (impl_->failed || !established()) return;
+    impl_->send_waiting();
+    SSL_shutdown(impl_->ssl.get());
+}
+
+bool Channel::established() const { return SSL_is_init_finished(impl_->ssl.get()) != 0; }
+bool Channel::failed() const { return impl_->failed; }
+bool Channel::ended() const { return impl_->ended; }
+const std::string& Channel::error() const { return impl_->error; }
+
+}  // namespace flaxdoor::tls
