--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -63,6 +63,7 @@
     void send(const core::Attempt& attempt) {
         const auto unit = static_cast<UnitPayload&>(*attempt.payload).unit.lock();
         if (!unit) return end(attempt.key, Outcome::moot, false);
+        unit->on_placed();
         if (Carrier* const tied = unit->tied()) {
             Link& link = static_cast<Link&>(*tied);
             if (link.upstream() != attempt.upstream) return end(attempt.key, Outcome::moot, false);
@@ -156,6 +157,7 @@
             key_ = key;
             unit_ = unit;
             since_ = owner_.clock_.now();
+            latency_ = Micros{0};
             owner_.carrying_[key] = self;
             if (owner_.wrong_role(machine_)) return give_back(Outcome::full);
             if (!owner_.core_.on_attempt_sending(key)) return give_back(Outcome::moot);
@@ -186,7 +188,8 @@
             if (!closed_) stream_->pause(false);
         }
         void started() override {
-            if (key_) owner_.core_.on_attempt_started(*key_, owner_.clock_.now() - since_, nullptr);
+            latency_ = owner_.clock_.now() - since_;
+            if (key_) owner_.core_.on_attempt_started(*key_, latency_, nullptr);
         }
         void served() override {
             if (key_) end_attempt(*key_, Outcome::ok, true);
@@ -392,7 +395,9 @@
         void end_attempt(core::AttemptKey key, Outcome outcome, bool whole) {
             key_.reset();
             owner_.carrying_.erase(key);
-            owner_.end(key, outcome, whole, owner_.clock_.now() - since_);
+            // Until the answer began: how long a transaction stays open is its client's doing.
+            const Micros latency = outcome == Outcome::ok ? latency_ : owner_.clock_.now() - since_;
+            owner_.end(key, outcome, whole, latency);
         }
 
         // Nobody hears what still comes; it is used again when that has ended.
@@ -450,6 +455,7 @@
         std::weak_ptr<Unit> unit_;
         std::optional<core::AttemptKey> key_;
         Time since_{};
+        Micros latency_{};
         int cancels_ = 0;
         bool cancel_lost_ = false;
         bool dirty_ = false, aside_ = false, resetting_ = false, closed_ = false;
--- a/src/pg/front.cpp
+++ b/src/pg/front.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pg/alarms.h"
+#include "pg/line.h"
 #include "pg/stream.h"
 #include "pg/unit.h"
 
@@ -77,6 +78,13 @@
 }  // namespace
 
 class Front::Impl : public std::enable_shared_from_this<Impl> {
+    struct LineState {
+        LineState(Alarms& alarms, std::size_t most, Micros wait) : line(most, wait), timer(alarms) {}
+        Line line;
+        Alarms::One timer;
+        bool offering = false;
+    };
+
 public:
     Impl(const loop::Executor& executor, core::Core& core, core::Front& face, const loop::Clock& clock,
          FrontOptions options)
@@ -102,7 +110,14 @@
         await_client();
     }
     tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-    void set_options(FrontOptions options) { options_ = std::move(options); }
+    void set_options(FrontOptions options) {
+        options_ = std::move(options);
+        for (const auto& [name, state] : lines_) {
+            const auto known = options_.databases.find(name);
+            if (known != options_.databases.end())
+                state->line.set_limits(known->second->line, known->second->line_wait);
+        }
+    }
 
     void begin_drain() {
         draining_ = true;
@@ -195,6 +210,14 @@
             const auto self = shared_from_this();
             call_ = 0;
             if (!session_ || answer.verdict == core::Verdict::served) return;
+            const bool at_once = answer.verdict == core::Verdict::refused && !placed_;
+            if (at_once && inside_) {
+                inside_ = false;
+                owner_.line_of(*this).line.given_up();
+                offer_due_ = true;
+            } else {
+                left_line();
+            }
             bool ran = answer.may_have_run;
             if (carrier_ && session_->uses_server()) {  // the answer came ahead of the attempt's end
                 Carrier* const carrier = carrier_;
@@ -223,6 +246,7 @@
             closed_ = true;
             const auto self = shared_from_this();
             if (session_) session_->on_client_gone();
+            if (std::exchange(offer_due_, false)) owner_.offer_soon(owner_.line_of(*this));
             stream_->close();
             login_.clear();
             message_.clear();
@@ -271,6 +295,12 @@
 
         // Deals with all that can be dealt with now.
         void pump() {
+            const auto self = shared_from_this();
+            pump_client();
+            if (!pumping_ && std::exchange(offer_due_, false)) owner_.offer_soon(owner_.line_of(*this));
+        }
+
+        void pump_client() {
             if (pumping_ || closed_) return;
             const auto self = shared_from_this();
             pumping_ = true;
@@ -442,34 +472,82 @@
         // session
 
         void take_unit(UnitKind kind, bool tied) override {
+            ++unit_;
+            call_ = 0;
+            wants_ = {kind, tied, owner_.clock_.now()};
+            switch (owner_.line_of(*this).line.arrive(number_, wants_.since)) {
+                case Line::Arrival::offer: return offer();
+                case Line::Arrival::waits: return owner_.mind_line(owner_.line_of(*this));
+                case Line::Arrival::full:
+                    return session_->on_refused({"too many units wait", Micros{0}, false});
+            }
+        }
+
+        // Asks the module.
+        void offer() {
             core::Call call;
             call.pool = db_->pool;
-            call.class_index = kind == UnitKind::hello ? safe_class : class_;
+            call.class_index = wants_.kind == UnitKind::hello ? safe_class : class_;
             call.budget = db_->deadline;
+            call.received = wants_.since;
             call.write = class_ == unsafe_class;
-            if (tied && carrier_) call.pinned = carrier_->upstream();
+            if (wants_.tied && carrier_) call.pinned = carrier_->upstream();
             call.payload = std::make_shared<UnitPayload>(std::weak_ptr<Unit>(shared_from_this()));
-            const std::uint64_t token = std::uint64_t{number_} << 32 | ++unit_;
+            placed_ = false;
+            inside_ = true;
+            const std::uint32_t unit = unit_;
+            const std::uint64_t token = std::uint64_t{number_} << 32 | unit;
             const core::Taken taken = owner_.core_.take(std::move(call), owner_.face_, token, &call_);
-            if (taken == core::Taken::yes) {
-                ++owner_.units_;
-                return;
+            if (taken != core::Taken::yes) {
+                call_ = 0;
+                left_line();
+                if (taken == core::Taken::shutting_down)
+                    return session_->shut("the balancer is shutting down");
+                return session_->on_refused({"too many units are open", Micros{0}, false});
+            }
+            ++owner_.units_;
+            if (unit != unit_ || call_ == 0) return;  // answered from within
+            Line& line = owner_.line_of(*this).line;
+            if (placed_) return line.placed();
+            if (!line.takes_back()) return;
+            // No place now: it stands in the line before the module would have given it up.
+            owner_.core_.leave(std::exchange(call_, 0));
+            inside_ = false;
+            line.back(number_);
+            owner_.mind_line(owner_.line_of(*this));
+        }
+
+        // Its time in the line is over.
+        void line_over() {
+            session_->on_refused({"it waited too long for room", Micros{0}, false});
+            pump();
+        }
+
+        // The unit is over, or stands in the line no more.
+        void left_line() {
+            if (!db_) return;
+            LineState& state = owner_.line_of(*this);
+            if (std::exchange(inside_, false)) {
+                state.line.ended();
+                offer_due_ = true;  // once the connection is free
+            } else {
+                state.line.leave(number_);
             }
-            call_ = 0;
-            if (taken == core::Taken::shutting_down) return session_->shut("the balancer is shutting down");
-            session_->on_refused({"too many units are open", Micros{0}, false});
         }
 
         void leave_unit(bool keep_link) override {
             ++unit_;
             if (call_) owner_.core_.leave(std::exchange(call_, 0));
+            left_line();
             if (carrier_ && !keep_link) std::exchange(carrier_, nullptr)->abandon(Outcome::cancelled);
         }
+        void on_placed() override { placed_ = true; }
         void unit_started() override {
             if (carrier_) carrier_->started();
         }
         void unit_served() override {
             if (carrier_) carrier_->served();
+            left_line();
         }
         void release(bool dirty) override {
             if (carrier_) std::exchange(carrier_, nullptr)->release(dirty);
@@ -534,6 +612,15 @@
         std::shared_ptr<const FrontDatabase> db_;
         std::vector<StartupOption> wanted_;
         int class_ = unsafe_class;
+        struct Wanted {
+            UnitKind kind = UnitKind::hello;
+            bool tied = false;
+            Time since{};
+        };
+        Wanted wants_;
+        bool inside_ = false;  // the module has its unit
+        bool placed_ = false;  //   and has found it a place
+        bool offer_due_ = false;
         core::CallId call_ = 0;
         std::uint32_t unit_ = 0;  // its number among the client's
         Carrier* carrier_ = nullptr;
@@ -542,6 +629,50 @@
         friend class Impl;
     };
 
+    // ------------------------------------------------------------------------------------------------- the
+    // lines
+
+    LineState& line_of(const Client& client) {
+        auto& state = lines_[client.database_];
+        if (!state) state = std::make_unique<LineState>(alarms_, client.db_->line, client.db_->line_wait);
+        return *state;
+    }
+
+    void mind_line(LineState& state) {
+        const auto next = state.line.next_time(clock_.now());
+        if (!next || state.timer.is_set()) return;
+        state.timer.set(*next, [this, &state] {
+            for (const Line::Token token : state.line.on_time(clock_.now())) {
+                const auto client = find(token);
+                if (client) client->line_over();
+            }
+            offer_soon(state);
+            mind_line(state);
+        });
+    }
+
+    // One after another: what an offer brings about may end further units.
+    void offer_soon(LineState& state) {
+        if (state.offering) return;
+        state.offering = true;
+        const auto self = shared_from_this();
+        while (const auto token = state.line.next()) {
+            const auto client = find(*token);
+            if (client) {
+                client->offer();
+                client->pump();
+            } else {
+                state.line.ended();
+            }
+        }
+        state.offering = false;
+    }
+
+    std::shared_ptr<Client> find(std::uint64_t number) const {
+        const auto found = clients_.find(number);
+        return found == clients_.end() ? nullptr : found->second;
+    }
+
     // ------------------------------------------------------------------------------------------------
     // accepting
 
@@ -635,6 +766,7 @@
     Alarms alarms_;
     tcp::acceptor acceptor_;
     Alarms::One accept_again_;
+    std::unordered_map<std::string, std::unique_ptr<LineState>> lines_;  // by database
     Statements statements_;
     ScramVerifier nobody_;  // what a user that is not known is checked against
     std::unordered_map<std::uint64_t, std::shared_ptr<Client>> clients_;
--- a/src/pg/front.h
+++ b/src/pg/front.h
@@ -28,6 +28,8 @@
     Back* back = nullptr;
     SessionOptions session;
     Micros deadline{};
+    std::size_t line = 1000;  // units that may wait for the module to have room
+    Micros line_wait = std::chrono::seconds(10);
     std::size_t clients_most = 0;  // 0: no limit of its own
     bool safe = false;             // by the operator's word: its units may be repeated
 };
--- a/src/pg/unit.h
+++ b/src/pg/unit.h
@@ -36,6 +36,8 @@
 public:
     virtual ~Unit() = default;
     virtual const std::string& user() const = 0;
+    // The module has found it a place; it may still wait for a connection.
+    virtual void on_placed() = 0;
     // The one that it wants and no other.
     virtual Carrier* tied() const = 0;
     [[nodiscard]] virtual bool on_link(Carrier& carrier) = 0;
--- a/src/settings/tables/postgres.h
+++ b/src/settings/tables/postgres.h
@@ -237,7 +237,7 @@
 
 inline constexpr Key<Micros> aim{{.table = "postgres_database",
                                   .name = "aim",
-                                  .fallback = std::chrono::milliseconds(500),
+                                  .fallback = std::chrono::seconds(2),
                                   .least = std::chrono::milliseconds(1),
                                   .most = std::chrono::hours(1),
                                   .takes = Takes::reload,
@@ -278,15 +278,14 @@
      .takes = Takes::reload,
      .meaning = "How many connections may be open to one server for one user."}};
 
-inline constexpr Key<std::int64_t> line{
-    {.table = "postgres_database",
-     .name = "line",
-     .fallback = 1000,
-     .least = 1,
-     .most = 1'000'000,
-     .unit = "units",
-     .takes = Takes::reload,
-     .meaning = "How many units may wait at one server for one user's connections."}};
+inline constexpr Key<std::int64_t> line{{.table = "postgres_database",
+                                         .name = "line",
+                                         .fallback = 1000,
+                                         .least = 1,
+                                         .most = 1'000'000,
+                                         .unit = "units",
+                                         .takes = Takes::reload,
+                                         .meaning = "How many units may wait until there is room."}};
 
 inline constexpr Key<Micros> line_timeout{{.table = "postgres_database",
                                            .name = "line_timeout",
@@ -294,7 +293,7 @@
                                            .least = std::chrono::milliseconds(1),
                                            .most = std::chrono::hours(1),
                                            .takes = Takes::reload,
-                                           .meaning = "How long a unit may wait there."}};
+                                           .meaning = "How long a unit may wait for room."}};
 
 inline constexpr Key<Micros> idle_timeout{
     {.table = "postgres_database",
--- a/src/sides/postgres.cpp
+++ b/src/sides/postgres.cpp
@@ -129,6 +129,8 @@
                                        : pg::Unreported::pin;
         front.session.deadline = front.deadline = row.get(keys::deadline);
         front.clients_most = count(row, keys::database_clients);
+        front.line = count(row, keys::line);
+        front.line_wait = row.get(keys::line_timeout);
         front.safe = row.get(keys::database_effect) == keys::Effect::safe;
         for (const std::string& name : row.get(keys::servers)) add_member(name, database);
         options_.databases.push_back(std::move(database));
--- /dev/null
+++ b/tests/pg/rig.h
@@ -0,0 +1,278 @@
+// The whole of PostgreSQL's side in one thread on loopback: core, service, stand-in servers, clients. Tests
+// wait for events; the limit in until() only ends a test that hangs.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "loop/alarm.h"
+#include "loop/clock.h"
+#include "pg/service.h"
+#include "standins/pg_server.h"
+#include "standins/pg_text.h"
+
+namespace flaxdoor::pg::test {
+
+namespace asio = boost::asio;
+namespace wire = standins::pg;
+using namespace std::chrono_literals;
+
+struct Silence final : core::Log {
+    void line(std::string_view text) override { lines.emplace_back(text); }
+    std::vector<std::string> lines;
+};
+
+inline UpstreamId id_of(const std::string& name) { return std::hash<std::string>()(name); }
+
+struct Rig {
+    Rig() : alarm(io.get_executor(), clock), core(clock, alarm, log) {
+        alarm.on_due([this] { core.on_alarm(); });
+    }
+    ~Rig() {
+        service.reset();
+        servers.clear();
+        io.restart();
+        io.poll();
+    }
+
+    wire::Server& add_server(const std::string& name, bool standby = false) {
+        servers.push_back(std::make_unique<wire::Server>(io.get_executor(), journal,
+                                                         wire::ServerOptions{name, standby, {}, 0}));
+        names.push_back(name);
+        return *servers.back();
+    }
+
+    core::Member member(std::size_t i, UpstreamState state = UpstreamState::ready) const {
+        core::Member member;
+        member.name = names[i];
+        member.address = "127.0.0.1:" + std::to_string(servers[i]->port());
+        member.entry.id = id_of(names[i]);
+        member.entry.state = state;
+        return member;
+    }
+
+    // One database, `db`, one user, `u`; tests change what they need before begin().
+    ServiceOptions make() const {
+        ServiceOptions made;
+        made.listen = loop::parse_endpoint("127.0.0.1:0");
+        made.seed = seed;
+        made.front.users["u"].kind = Authentication::Kind::trust;
+        made.front.ignored_settings = {"extra_float_digits"};
+        DatabaseOptions db;
+        db.name = "db";
+        db.back.database = "db";
+        db.back.role = role;
+        db.back.cancel_limit = 2s;
+        db.back.drain_limit = drain_limit;
+        db.back.pool = pool;
+        db.settings.max_attempts = 3;
+        db.settings.connect_timeout = 2s;
+        db.settings.retry_after = true;
+        db.settings.max_retry_after = 60s;
+        db.settings.may_cancel = true;
+        for (const Effect effect : {Effect::unsafe, Effect::safe}) {
+            ClassSettings each;
+            each.name = effect == Effect::safe ? "safe" : "unsafe";
+            each.aim = std::min<Micros>(deadline, 2s);
+            each.deadline = deadline;
+            each.effect = effect;
+            each.streams = true;
+            db.settings.classes.push_back(each);
+        }
+        db.front.session = session;
+        db.front.session.deadline = db.front.deadline = deadline;
+        db.front.line_wait = line_wait;
+        db.front.safe = safe;
+        for (std::size_t i = 0; i < servers.size(); ++i) db.members.push_back(member(i));
+        made.databases.push_back(std::move(db));
+        return made;
+    }
+
+    void begin() { begin(make()); }
+    void begin(ServiceOptions made) {
+        service = std::make_unique<Service>(io.get_executor(), core, clock, std::move(made));
+    }
+
+    // Lists the servers anew, some of them in another state.
+    void tell(const std::vector<UpstreamState>& states) {
+        ServiceOptions changed = make();
+        for (std::size_t i = 0; i < states.size(); ++i)
+            changed.databases[0].members[i].entry.state = states[i];
+        service->change(std::move(changed));
+    }
+
+    bool until(const std::function<bool()>& holds, std::chrono::milliseconds limit = 20s) {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            io.restart();
+            io.run_one_for(100ms);
+        }
+        return true;
+    }
+    // Whatever is on its way has come, as far as loopback goes.
+    void settle(int rounds = 20) {
+        for (int i = 0; i < rounds; ++i) {
+            io.restart();
+            io.poll();
+        }
+    }
+
+    asio::io_context io{1};
+    loop::Clock clock;
+    loop::Alarm alarm;
+    Silence log;
+    core::Core core;
+    wire::Journal journal;
+    std::vector<std::unique_ptr<wire::Server>> servers;
+    std::vector<std::string> names;
+    std::unique_ptr<Service> service;
+
+    std::uint64_t seed = 1;
+    SessionOptions session;
+    Role role = Role::any;
+    PoolLimits pool;
+    Micros deadline = 30s, drain_limit = 30s, line_wait = 20s;
+    bool safe = false;
+};
+
+// What a unit was answered, up to its ReadyForQuery.
+struct Answer {
+    std::string types;  // of its messages, ReadyForQuery and what comes unasked left out
+    std::string code, severity, tag, detail, text;
+    std::size_t errors = 0;
+    char status = 0;  // 0: none has come
+    std::vector<std::string> rows;
+};
+
+class Client : public std::enable_shared_from_this<Client> {
+public:
+    explicit Client(Rig& rig) : rig_(rig), socket_(rig.io) { socket_.connect(rig.service->address()); }
+
+    static std::shared_ptr<Client> logged_in(Rig& rig,
+                                             std::vector<std::pair<std::string, std::string>> more = {}) {
+        const auto client = std::make_shared<Client>(rig);
+        std::vector<std::pair<std::string, std::string>> options{{"user", "u"}, {"database", "db"}};
+        options.insert(options.end(), more.begin(), more.end());
+        client->read();
+        client->send(wire::startup(options));
+        EXPECT_TRUE(rig.until([&] { return client->readies() == 1 || client->ended(); }));
+        client->skip_login();
+        return client;
+    }
+
+    void send(const std::string& bytes) {
+        boost::system::error_code ignored;
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+    // Sends one unit and waits for its end.
+    Answer ask(const std::string& bytes) {
+        const std::size_t before = readies();
+        send(bytes);
+        EXPECT_TRUE(rig_.until([&] { return readies() > before || ended_; })) << "no answer";
+        const auto all = answers();
+        return before < all.size() ? all[before] : Answer{};
+    }
+
+    void read() {
+        auto self = shared_from_this();
+        socket_.async_read_some(asio::buffer(room_),
+                                [self](boost::system::error_code error, std::size_t size) {
+                                    if (error) {
+                                        self->ended_ = true;
+                                        return;
+                                    }
+                                    self->in_.append(self->room_.data(), size);
+                                    self->bytes_ += size;
+                                    while (const auto message = wire::take(self->in_)) {
+                                        if (message->type == 'Z') ++self->readies_;
+                                        self->messages_.push_back(*message);
+                                    }
+                                    if (!self->paused_) self->read();
+                                });
+    }
+    void pause() { paused_ = true; }
+    void resume() {
+        paused_ = false;
+        read();
+    }
+    void close() {
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+    }
+
+    std::size_t readies() const { return readies_; }
+    bool ended() const { return ended_; }
+    std::size_t bytes() const { return bytes_; }
+    bool half_message() const { return !in_.empty(); }
+    const std::vector<wire::Message>& messages() const { return messages_; }
+
+    // One for each ReadyForQuery; the last may have none yet.
+    std::vector<Answer> answers() const {
+        std::vector<Answer> all;
+        Answer now;
+        bool any = false;
+        for (const auto& m : messages_) {
+            if (m.type == 'S' || m.type == 'N' || m.type == 'A') continue;
+            any = true;
+            if (m.type == 'Z') {
+                now.status = m.body[0];
+                all.push_back(now);
+                now = {};
+                any = false;
+                continue;
+            }
+            now.types += m.type;
+            if (m.type == 'E') {
+                auto fields = wire::fields(m.body);
+                ++now.errors;
+                now.code = fields['C'];
+                now.severity = fields['S'];
+                now.detail = fields['D'];
+                now.text = fields['M'];
+            }
+            if (m.type == 'C') now.tag = m.body.substr(0, m.body.size() - 1);
+            if (m.type == 'D') now.rows.push_back(m.body.substr(6));
+        }
+        if (any) all.push_back(now);
+        return all;
+    }
+
+    std::uint32_t process = 0, secret = 0;
+
+private:
+    void skip_login() {
+        std::vector<wire::Message> rest;
+        bool over = false;
+        for (const auto& m : messages_) {
+            if (over || m.type == 'E') rest.push_back(m);
+            if (m.type == 'K') {
+                process = wire::int32_at(m.body, 0);
+                secret = wire::int32_at(m.body, 4);
+            }
+            if (m.type == 'Z') over = true;
+        }
+        if (over) --readies_;
+        messages_ = rest;
+    }
+
+    Rig& rig_;
+    asio::ip::tcp::socket socket_;
+    std::array<char, 16384> room_{};
+    std::string in_;
+    std::vector<wire::Message> messages_;
+    std::size_t readies_ = 0, bytes_ = 0;
+    bool ended_ = false, paused_ = false;
+};
+
+}  // namespace flaxdoor::pg::test
--- /dev/null
+++ b/tests/pg/sql_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
