PostgreSQL: a server with the wrong role leaves the list until it says otherwise

Need: after a promotion it took 15 s until the new primary was served: units turned away as full put the standby out for longer each time. Change: a server that says in_hot_standby against a pool's role is taken off that pool's list, with one connection kept on which it says when that changes.

--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -50,11 +50,13 @@
         upstream.takes_work = takes_work;
         if (moved || stops) drain(id);
         pool_.set_server(id, address, takes_work);
+        if (takes_work) give_ears(id);
         run();
     }
 
     void remove_upstream(UpstreamId id) {
         drain(id);
+        keep_ear(id);
         upstreams_.erase(id);
         pool_.remove_server(id);
         run();
@@ -102,6 +104,7 @@
         run();
     }
     void on_login_end(std::function<void()> call) { login_ended_ = std::move(call); }
+    void on_role(std::function<void(UpstreamId, bool)> call) { on_role_ = std::move(call); }
 
     const std::map<std::string, ServerMachine::Reported>* parameters() const {
         return parameters_.empty() ? nullptr : &parameters_;
@@ -159,7 +162,6 @@
             since_ = owner_.clock_.now();
             latency_ = Micros{0};
             owner_.carrying_[key] = self;
-            if (owner_.wrong_role(machine_)) return give_back(Outcome::full);
             if (!owner_.core_.on_attempt_sending(key)) return give_back(Outcome::moot);
             if (!unit->on_link(*this)) return give_back(Outcome::moot);
             flush();
@@ -230,6 +232,10 @@
             if (unit) unit->after_server();
         }
 
+        // It serves nobody, and is there to hear what the server says of itself.
+        bool is_ear() const { return ear_; }
+        void set_ear(bool ear) { ear_ = ear; }
+
         void tell_drain(bool at_limit) {
             if (const auto unit = unit_.lock()) unit->on_drain(at_limit);
         }
@@ -244,6 +250,7 @@
         }
         void cancel_begun() { ++cancels_; }
         const Upstream& where() const { return where_; }
+        LinkId id() const { return id_; }
 
         void close() {
             if (closed_) return;
@@ -298,6 +305,7 @@
             pumping_ = true;
             take_events();
             pumping_ = false;
+            if (!closed_) mind_role();
             if (!closed_ && std::exchange(settle_due_, false)) settle();
             if (!closed_) stream_->flush();
             if (served) served->after_server();
@@ -308,6 +316,12 @@
             if (!closed_ && !unit && aside_) settle();
         }
 
+        void mind_role() {
+            if (machine_.state() != ServerState::up || owner_.wrong_role(machine_) == wrong_) return;
+            wrong_ = !wrong_;
+            owner_.tell_role(upstream_, !wrong_);
+        }
+
         void take_events() {
             while (!closed_) {
                 const auto event = machine_.next();
@@ -348,7 +362,10 @@
             limit_.clear();
             owner_.login_error_.clear();
             owner_.parameters_ = machine_.parameters();
-            owner_.pool_.on_login(id_, LoginEnd::up, owner_.clock_.now());
+            wrong_ = owner_.wrong_role(machine_);
+            ear_ = wrong_;
+            owner_.pool_.on_login(id_, wrong_ ? LoginEnd::apart : LoginEnd::up, owner_.clock_.now());
+            if (wrong_) owner_.tell_role(upstream_, false);
             owner_.login_over();
         }
 
@@ -383,6 +400,7 @@
         void leave() {
             close();
             owner_.links_.erase(id_);
+            if (ear_) owner_.tell_role(upstream_, true);  // nobody listens any more
         }
 
         void give_up() {
@@ -460,6 +478,7 @@
         bool cancel_lost_ = false;
         bool dirty_ = false, aside_ = false, resetting_ = false, closed_ = false;
         bool pumping_ = false, settle_due_ = false;
+        bool wrong_ = false, ear_ = false;  // the server's role; and this is kept for it to say otherwise
     };
 
     class Cancel final : public StreamOwner, public std::enable_shared_from_this<Cancel> {
@@ -534,6 +553,44 @@
         return machine.is_standby() != (options_.role == Role::replica);
     }
 
+    void tell_role(UpstreamId id, bool right) {
+        if (on_role_ && !stopped_) on_role_(id, right);
+    }
+
+    std::vector<std::shared_ptr<Link>> links_at(UpstreamId id) const {
+        std::vector<std::shared_ptr<Link>> all;
+        for (const auto& [link_id, link] : links_) {
+            if (link->at() == id) all.push_back(link);
+        }
+        return all;
+    }
+
+    // Of a server that has the wrong role one connection stays.
+    void keep_ear(UpstreamId id) {
+        std::shared_ptr<Link> ear;
+        for (const auto& link : links_at(id)) {
+            if (!wrong_role(link->machine()) || link->machine().state() != ServerState::up) continue;
+            if (!ear && (link->is_ear() || pool_.keep_apart(link->id()))) {
+                ear = link;
+                link->set_ear(true);
+            } else if (link->is_ear()) {
+                link->set_ear(false);
+                pool_.on_gone(link->id());
+                links_.erase(link->id());
+                link->close();
+            }
+        }
+    }
+
+    // It is listed again: those that listened serve.
+    void give_ears(UpstreamId id) {
+        for (const auto& link : links_at(id)) {
+            if (!link->is_ear()) continue;
+            link->set_ear(false);
+            pool_.on_free(link->id(), clock_.now());
+        }
+    }
+
     bool takes_work(UpstreamId id, const std::string& address) const {
         const auto found = upstreams_.find(id);
         return found != upstreams_.end() && found->second.takes_work && found->second.text == address;
@@ -568,10 +625,7 @@
     }
 
     void drain(UpstreamId id) {
-        std::vector<std::shared_ptr<Link>> there;
-        for (const auto& [link_id, link] : links_) {
-            if (link->at() == id) there.push_back(link);
-        }
+        const std::vector<std::shared_ptr<Link>> there = links_at(id);
         if (there.empty()) return;
         for (const auto& link : there) link->tell_drain(false);
         auto timer = std::make_shared<Alarms::One>(alarms_);
@@ -671,6 +725,7 @@
     std::map<std::string, ServerMachine::Reported> parameters_;
     std::string login_error_;
     std::function<void()> login_ended_;
+    std::function<void(UpstreamId, bool)> on_role_;
     bool running_ = false, stopped_ = false;
 };
 
@@ -690,6 +745,7 @@
 void Back::set_options(BackOptions options) { impl_->set_options(std::move(options)); }
 void Back::on_gate() { impl_->on_gate(); }
 void Back::on_login_end(std::function<void()> call) { impl_->on_login_end(std::move(call)); }
+void Back::on_role(std::function<void(UpstreamId, bool)> call) { impl_->on_role(std::move(call)); }
 const std::map<std::string, ServerMachine::Reported>* Back::parameters() const { return impl_->parameters(); }
 const std::string& Back::login_error() const { return impl_->login_error(); }
 std::size_t Back::links() const { return impl_->links(); }
--- a/src/pg/back.h
+++ b/src/pg/back.h
@@ -4,6 +4,7 @@
 // Life:      units must be gone, or have left, before it is destroyed.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +64,11 @@
     // Called when one ends here.
     void on_login_end(std::function<void()> call);
 
+    // Called when a server that is listed turns out to have the wrong role, and when it may have the right
+    // one again: it has said so, or nobody listens any more. Until then one connection to it is kept to hear
+    // that.
+    void on_role(std::function<void(UpstreamId, bool right)> call);
+
     // What a server said of itself last; null before that.
     const std::map<std::string, ServerMachine::Reported>* parameters() const;
     // Why the last login failed; empty: it did not.
--- a/src/pg/pool.cpp
+++ b/src/pg/pool.cpp
@@ -87,13 +87,13 @@
     now_ = now;
     const auto found = links_.find(id);
     if (found == links_.end() || found->second.state != State::logging_in) return;
-    if (end == LoginEnd::up) {
+    if (end == LoginEnd::up || end == LoginEnd::apart) {
         const std::string address = found->second.address;
         --places_.at(found->second.place).logging_in;
         found->second.state = State::busy;
         found->second.born = now;
         gate_.end(address);
-        return on_free(id, now);
+        return end == LoginEnd::up ? on_free(id, now) : void();
     }
     const PlaceKey key = found->second.place;
     forget(id);
@@ -136,6 +136,14 @@
     forget_place(key);
 }
 
+bool Pool::keep_apart(LinkId id) {
+    const auto found = links_.find(id);
+    if (found == links_.end() || found->second.state != State::idle) return false;
+    found->second.state = State::busy;
+    std::erase(places_.at(found->second.place).idle, id);
+    return true;
+}
+
 void Pool::on_gate() {
     for (auto& [key, place] : places_) serve(key, place);
 }
--- a/src/pg/pool.h
+++ b/src/pg/pool.h
@@ -56,8 +56,9 @@
 
 enum class LoginEnd : std::uint8_t {
     up,
-    down,  // it can't be reached, or is starting or stopping
-    full,  // it is there and takes no more connections
+    down,   // it can't be reached, or is starting or stopping
+    full,   // it is there and takes no more connections
+    apart,  // it is up, and kept apart from the pool until on_free()
 };
 
 struct PoolAction {
@@ -89,6 +90,8 @@
     void on_free(LinkId link, Time now);
     // It has ended, whatever it was doing.
     void on_gone(LinkId link);
+    // It is not to be closed with the idle ones: apart from the pool until on_free(). False: it is not idle.
+    bool keep_apart(LinkId link);
     // A login has ended somewhere: the gate may let another one in.
     void on_gate();
     void on_time(Time now);
--- a/src/pg/service.cpp
+++ b/src/pg/service.cpp
@@ -16,9 +16,12 @@
             database.back->on_login_end([this] {
                 for (auto& [name, other] : databases_) other.back->on_gate();
             });
+            database.back->on_role(
+                [this, &database](UpstreamId upstream, bool right) { on_role(database, upstream, right); });
             database.pool = core_.add_pool({"postgres/" + each.name, each.settings, options.seed},
                                            *database.back, nullptr);
-            tell_members(database, std::move(each.members));
+            database.members = std::move(each.members);
+            tell_members(database);
             give_front(options.front, each, database);
         }
         front_ = std::make_unique<Front>(executor, core_, clock, std::move(options.front));
@@ -52,7 +55,8 @@
         core_.change_pool(database.pool, each.settings);
         give_front(front, each, database);
         database.back->set_options(std::move(each.back));
-        tell_members(database, std::move(each.members));
+        database.members = std::move(each.members);
+        tell_members(database);
     }
     front_->set_options(std::move(front));
 }
@@ -65,12 +69,20 @@
     front.databases[options.name] = std::make_shared<const FrontDatabase>(std::move(its));
 }
 
-void Service::tell_members(Database& database, std::vector<core::Member> members) {
+// Who has the wrong role is not listed: to be listed as draining would drain it in every pool.
+void Service::tell_members(Database& database) {
     core::MemberList list;
     list.kind = ListKind::full;
     list.version = ++database.version;
-    list.members = std::move(members);
+    for (const core::Member& member : database.members) {
+        if (!database.wrong.contains(member.entry.id)) list.members.push_back(member);
+    }
     core_.on_list(database.pool, std::move(list));
 }
 
+void Service::on_role(Database& database, UpstreamId upstream, bool right) {
+    const bool changed = right ? database.wrong.erase(upstream) > 0 : database.wrong.insert(upstream).second;
+    if (changed && database.pool) tell_members(database);
+}
+
 }  // namespace flaxdoor::pg
--- a/src/pg/service.h
+++ b/src/pg/service.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,10 +63,13 @@
         core::PoolId pool = 0;
         std::unique_ptr<Back> back;
         std::uint64_t version = 0;
+        std::vector<core::Member> members;
+        std::set<UpstreamId> wrong;  // of these, those that have said to have another role
     };
 
     void give_front(FrontOptions& front, DatabaseOptions& options, Database& database);
-    void tell_members(Database& database, std::vector<core::Member> members);
+    void tell_members(Database& database);
+    void on_role(Database& database, UpstreamId upstream, bool right);
 
     core::Core& core_;
     LoginGate gate_;
