--- a/tests/pg/pool_test.cpp
+++ b/tests/pg/pool_test.cpp
@@ -1,1 +1,221 @@
+// The pool: who gets which connection, under a random world, and its limits one by one.
+#include "pg/pool.h"
+
 #include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace flaxdoor::pg {
+namespace {
+
+using namespace std::chrono_literals;
+using Kind = PoolAction::Kind;
+constexpr Time start = 1000s;
+
+core::AttemptKey key(core::CallId call) { return {call, 0}; }
+
+std::vector<PoolAction> all(Pool& pool) {
+    std::vector<PoolAction> actions;
+    while (auto action = pool.next()) actions.push_back(std::move(*action));
+    return actions;
+}
+
+TEST(Pool, ConnectionsAreOpenedUpToTheLimitAndGivenOnInTurn) {
+    LoginGate gate(10);
+    Pool pool(gate, {.connections = 2});
+    pool.set_server(1, "x", true);
+    for (core::CallId i = 1; i <= 4; ++i) pool.want(key(i), 1, "u", start);
+    auto actions = all(pool);
+    ASSERT_EQ(actions.size(), 2u);
+    EXPECT_EQ(actions[0].kind, Kind::open);
+    pool.on_login(actions[0].link, LoginEnd::up, start);
+    const auto linked = all(pool);
+    ASSERT_EQ(linked.size(), 1u);
+    EXPECT_EQ(linked[0].attempt, key(1));
+    pool.on_free(linked[0].link, start);
+    EXPECT_EQ(all(pool).at(0).attempt, key(2));
+}
+
+TEST(Pool, TheGateIsSharedByAllPools) {
+    LoginGate gate(2);
+    Pool a(gate, {}), b(gate, {});
+    a.set_server(1, "x", true);
+    b.set_server(7, "x", true);
+    for (core::CallId i = 1; i <= 5; ++i) a.want(key(i), 1, "u", start);
+    b.want(key(6), 7, "u", start);
+    const auto opened = all(a);
+    EXPECT_EQ(opened.size(), 2u);
+    EXPECT_EQ(all(b).size(), 0u);
+    a.on_login(opened[0].link, LoginEnd::down, start);
+    b.on_gate();
+    EXPECT_EQ(all(b).size(), 1u);
+}
+
+TEST(Pool, WhoWaitsAtAServerThatIsDownGoesElsewhere) {
+    LoginGate gate(1);
+    Pool pool(gate, {});
+    pool.set_server(1, "x", true);
+    for (core::CallId i = 1; i <= 3; ++i) pool.want(key(i), 1, "u", start);
+    pool.on_login(all(pool).at(0).link, LoginEnd::down, start);
+    const auto actions = all(pool);
+    ASSERT_EQ(actions.size(), 3u);
+    for (const auto& action : actions) {
+        EXPECT_EQ(action.kind, Kind::end);
+        EXPECT_EQ(action.outcome, Outcome::connect_failed);
+    }
+}
+
+TEST(Pool, ADrainClosesWhatIsIdleAndLetsNobodyIn) {
+    LoginGate gate(4);
+    Pool pool(gate, {});
+    pool.set_server(1, "x", true);
+    pool.want(key(1), 1, "u", start);
+    const LinkId link = all(pool).at(0).link;
+    pool.on_login(link, LoginEnd::up, start);
+    (void)all(pool);
+    pool.set_server(1, "x", false);
+    pool.want(key(2), 1, "u", start);
+    const auto actions = all(pool);
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_EQ(actions[0].outcome, Outcome::moot);
+    pool.on_free(link, start);
+    EXPECT_EQ(all(pool).at(0).kind, Kind::close);
+}
+
+TEST(Pool, IdleAndAgedConnectionsAreClosed) {
+    LoginGate gate(4);
+    Pool pool(gate, {.idle = 10s, .age = 100s});
+    pool.set_server(1, "x", true);
+    pool.want(key(1), 1, "u", start);
+    const LinkId link = all(pool).at(0).link;
+    pool.on_login(link, LoginEnd::up, start);
+    (void)all(pool);
+    pool.on_free(link, start + 1s);
+    EXPECT_EQ(pool.next_time(), start + 11s);
+    pool.on_time(start + 10s);
+    EXPECT_TRUE(all(pool).empty());
+    pool.on_time(start + 11s);
+    EXPECT_EQ(all(pool).at(0).kind, Kind::close);
+    pool.want(key(2), 1, "u", start + 20s);
+    const LinkId second = all(pool).at(0).link;
+    pool.on_login(second, LoginEnd::up, start + 20s);
+    (void)all(pool);
+    pool.on_free(second, start + 121s);
+    EXPECT_EQ(all(pool).at(0).kind, Kind::close);
+}
+
+TEST(Pool, AServerThatTurnsLoginsAwayIsNotAskedAgainAtOnce) {
+    LoginGate gate(4);
+    Pool pool(gate, {.login_again = 1s});
+    pool.set_server(1, "x", true);
+    pool.want(key(1), 1, "u", start);
+    const LinkId up = all(pool).at(0).link;
+    pool.on_login(up, LoginEnd::up, start);
+    (void)all(pool);
+    pool.want(key(2), 1, "u", start);
+    pool.on_login(all(pool).at(0).link, LoginEnd::full, start);
+    EXPECT_TRUE(all(pool).empty()) << "it waits for the connection that there is";
+    pool.on_gate();
+    EXPECT_TRUE(all(pool).empty());
+    EXPECT_EQ(pool.next_time(), start + 1s);
+    pool.on_time(start + 1s);
+    EXPECT_EQ(all(pool).at(0).kind, Kind::open);
+}
+
+// A random world: each attempt ends in one link or one end, no connection has two at once, limits hold.
+TEST(Pool, RandomWorlds) {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        SCOPED_TRACE(seed);
+        std::uint64_t state = seed;
+        const auto random = [&](std::uint64_t below) {
+            state = state * 6364136223846793005ull + 1442695040888963407ull;
+            return (state >> 33) % below;
+        };
+        LoginGate gate(3);
+        const PoolLimits limits{
+            .connections = 4, .line = 8, .wait = 2s, .idle = 5s, .login_again = 1s, .age = 20s};
+        Pool pool(gate, limits);
+        Time now = start;
+        std::set<core::AttemptKey> waiting;
+        std::set<LinkId> opening, busy, idle;
+        std::map<LinkId, UpstreamId> at;
+        core::CallId last = 0;
+        for (UpstreamId id = 1; id <= 3; ++id) pool.set_server(id, "s" + std::to_string(id), true);
+        const auto pull = [&] {
+            while (const auto action = pool.next()) {
+                switch (action->kind) {
+                    case Kind::open:
+                        ASSERT_TRUE(opening.insert(action->link).second);
+                        at[action->link] = action->upstream;
+                        break;
+                    case Kind::link:
+                        ASSERT_EQ(waiting.erase(action->attempt), 1u);
+                        ASSERT_EQ(idle.erase(action->link), 1u) << "a connection that is not idle was given";
+                        busy.insert(action->link);
+                        break;
+                    case Kind::close:
+                        ASSERT_EQ(idle.erase(action->link) + busy.erase(action->link), 1u);
+                        break;
+                    case Kind::end: ASSERT_EQ(waiting.erase(action->attempt), 1u); break;
+                }
+            }
+        };
+        const auto some = [&](const std::set<LinkId>& from) {
+            return *std::next(from.begin(), static_cast<long>(random(from.size())));
+        };
+        for (int step = 0; step < 500; ++step) {
+            now += Micros(random(300'000));
+            switch (random(9)) {
+                case 0:
+                case 1:
+                case 2:
+                    waiting.insert(key(++last));
+                    pool.want(key(last), 1 + random(4), random(2) ? "u" : "v", now);
+                    break;
+                case 3:
+                    if (!opening.empty()) {
+                        const LinkId link = some(opening);
+                        opening.erase(link);
+                        const auto end = static_cast<LoginEnd>(random(3));
+                        if (end == LoginEnd::up) idle.insert(link);
+                        pool.on_login(link, end, now);
+                    }
+                    break;
+                case 4:
+                    if (!busy.empty()) {
+                        const LinkId link = some(busy);
+                        busy.erase(link);
+                        idle.insert(link);
+                        pool.on_free(link, now);
+                    }
+                    break;
+                case 5: {
+                    auto& from = random(2) ? busy : idle;
+                    if (!from.empty()) {
+                        const LinkId link = some(from);
+                        from.erase(link);
+                        pool.on_gone(link);
+                    }
+                    break;
+                }
+                case 6: pool.set_server(1 + random(3), "s" + std::to_string(random(4)), random(4) > 0); break;
+                case 7: pool.on_time(now); break;
+                default:
+                    if (!waiting.empty() && pool.drop(*waiting.begin())) waiting.erase(waiting.begin());
+            }
+            pull();
+            if (HasFatalFailure()) return;
+            std::map<UpstreamId, std::size_t> count;
+            for (const auto* links : {&opening, &busy, &idle}) {
+                for (const LinkId link : *links) ++count[at[link]];
+            }
+            for (const auto& [upstream, n] : count) ASSERT_LE(n, 2 * limits.connections);  // of two users
+            ASSERT_EQ(pool.waiting(), waiting.size());
+            ASSERT_EQ(pool.links(), opening.size() + busy.size() + idle.size());
+        }
+    }
+}
+
+}  // namespace
+}  // namespace flaxdoor::pg
--- a/tests/pg/sql_test.cpp
+++ b/tests/pg/sql_test.cpp
@@ -1,1 +1,191 @@
+// What a text may do: a table, and the short way held against the parser.
+#include "pg/sql.h"
+
 #include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+namespace flaxdoor::pg {
+namespace {
+
+struct Expected {
+    const char* text;
+    const char* says;  // c: may commit, b: begins, e: ends, l: leaves a failed one, i: copies in, p: pins, x:
+                       // not parsed
+};
+
+std::string says(const SqlFacts& facts) {
+    std::string out;
+    if (!facts.parsed) return "x";
+    if (facts.may_commit) out += 'c';
+    if (facts.begins) out += 'b';
+    if (facts.ends) out += 'e';
+    if (facts.leaves_failed) out += 'l';
+    if (facts.copies_in) out += 'i';
+    if (facts.pins) out += 'p';
+    return out;
+}
+
+TEST(Sql, WhatTextsMayDo) {
+    const Expected all[] = {
+        {"SELECT 1", ""},
+        {"", ""},
+        {"-- nothing", ""},
+        {"BEGIN", "b"},
+        {"START TRANSACTION ISOLATION LEVEL SERIALIZABLE", "b"},
+        {"COMMIT", "cel"},
+        {"END", "cel"},
+        {"/* x */ commit", "cel"},
+        {"COMMIT AND CHAIN", "ce"},
+        {"ROLLBACK", "el"},
+        {"ABORT", "el"},
+        {"ROLLBACK AND CHAIN", "e"},
+        {"ROLLBACK TO SAVEPOINT a", ""},
+        {"SAVEPOINT a", ""},
+        {"PREPARE TRANSACTION 'x'", "ce"},
+        {"COMMIT PREPARED 'x'", "ce"},
+        {"INSERT INTO t VALUES (1); COMMIT", "ce"},
+        {"ROLLBACK; INSERT INTO t VALUES (1)", "ce"},
+        {"SELECT 1; SELECT 2", ""},
+        {"CALL p()", "c"},
+        {"DO $$ begin end $$", "cp"},
+        {"VACUUM", "c"},
+        {"CREATE DATABASE d", "c"},
+        {"CREATE INDEX CONCURRENTLY i ON t (a)", "c"},
+        {"DROP INDEX CONCURRENTLY i", "c"},
+        {"CREATE INDEX i ON t (a)", ""},
+        {"COPY t FROM STDIN", "i"},
+        {"COPY t FROM '/etc/passwd'", ""},
+        {"COPY t TO STDOUT", ""},
+        {"SET search_path TO x", "p"},
+        {"SET LOCAL search_path TO x", ""},
+        {"SET TimeZone TO 'UTC'", ""},
+        {"SET TIME ZONE 'UTC'", ""},
+        {"SET application_name = 'x'", ""},
+        {"SET ROLE x", "p"},
+        {"SET SESSION AUTHORIZATION x", "p"},
+        {"SET statement_timeout = 5", "p"},
+        {"SET TRANSACTION ISOLATION LEVEL SERIALIZABLE", ""},
+        {"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY", "p"},
+        {"RESET ALL", ""},
+        {"LISTEN x", "p"},
+        {"UNLISTEN x", ""},
+        {"NOTIFY x", ""},
+        {"PREPARE s AS SELECT 1", "p"},
+        {"LOAD 'x'", "p"},
+        {"CREATE TEMP TABLE t (a int)", "p"},
+        {"CREATE TABLE pg_temp.t (a int)", "p"},
+        {"SELECT 1 INTO TEMP t", "p"},
+        {"CREATE TEMP VIEW v AS SELECT 1", "p"},
+        {"SELECT pg_advisory_lock(1)", "p"},
+        {"SELECT pg_catalog.pg_try_advisory_lock(1)", "p"},
+        {"SELECT \"pg_advisory_lock\"(1)", "p"},
+        {"SELECT pg_advisory_xact_lock(1)", ""},
+        {"SELECT a FROM t WHERE b = (SELECT set_config('a', 'b', false))", "p"},
+        {"SELECT U&\"set\\005fconfig\"('a','b',false)", "p"},
+        {"DECLARE c CURSOR FOR SELECT 1", ""},
+        {"DECLARE c CURSOR WITH HOLD FOR SELECT 1", "p"},
+        {"SELECT E'it\\'s; commit'", ""},
+        {"SELECT $$; COMMIT$$", ""},
+        {"SELEC 1", "x"},
+        {"SELECT 1; COMMI", "x"},
+    };
+    for (const auto& each : all) EXPECT_EQ(says(facts_of(each.text)), each.says) << each.text;
+}
+
+TEST(Sql, WhatCantBeParsedIsTheWorstCase) {
+    for (const SqlFacts& facts :
+         {facts_of("SELEC"), facts_of(std::string("SELECT $$") + std::string(300'000, 'x') + "$$"),
+          facts_of(std::string_view("SELECT 1\0; COMMIT", 17))}) {
+        EXPECT_FALSE(facts.parsed);
+        EXPECT_TRUE(facts.may_commit);
+        EXPECT_TRUE(facts.pins);
+    }
+}
+
+TEST(Sql, ALongPlainTextIsNotParsed) {
+    std::string text = "INSERT INTO t VALUES ('x')";
+    for (int i = 0; i < 50'000; ++i) text += ", ('it''s')";
+    EXPECT_TRUE(is_plain(text));
+    EXPECT_FALSE(facts_of(text).pins);
+}
+
+// Texts put together of pieces that matter; where the short way takes one, the parser must agree, or refuse
+// it as no SQL at all: then nothing runs.
+TEST(Sql, ThePlainWayAgreesWithTheParser) {
+    const char* const pieces[] = {"SELECT",
+                                  "select",
+                                  "INSERT INTO t",
+                                  "UPDATE t SET a =",
+                                  "DELETE FROM t",
+                                  "VALUES (1)",
+                                  "1",
+                                  "a",
+                                  "\"a\"",
+                                  "'x'",
+                                  "''",
+                                  "'it''s'",
+                                  "$1",
+                                  "$$x$$",
+                                  "E'\\''",
+                                  "--",
+                                  "/*",
+                                  "*/",
+                                  ";",
+                                  "COMMIT",
+                                  "BEGIN",
+                                  "ROLLBACK",
+                                  "INTO",
+                                  "TEMP",
+                                  "t",
+                                  "FROM",
+                                  "WHERE",
+                                  "=",
+                                  "+",
+                                  "(",
+                                  ")",
+                                  ",",
+                                  "set_config",
+                                  "pg_advisory_lock(1)",
+                                  "pg_advisory_xact_lock(1)",
+                                  "\\",
+                                  "\n",
+                                  " ",
+                                  "U&'x'",
+                                  "U&\"x\"",
+                                  "&",
+                                  "'",
+                                  "\"",
+                                  "pg_temp.x",
+                                  "1e5",
+                                  "x1",
+                                  "::int",
+                                  "B'1'",
+                                  "DO",
+                                  "CALL p()",
+                                  "\xc3\xa9"};
+    std::mt19937 random(20261201);
+    const auto pick = [&] { return pieces[random() % std::size(pieces)]; };
+    std::size_t plain = 0, agreed = 0;
+    for (int i = 0; i < 200'000; ++i) {
+        std::string text = i % 2 ? "SELECT " : "";
+        for (std::size_t n = random() % 8; n > 0; --n) {
+            text += pick();
+            if (random() % 4) text += ' ';
+        }
+        if (!is_plain(text)) continue;
+        ++plain;
+        const SqlFacts parsed = facts_by_parser(text);
+        if (!parsed.parsed) continue;
+        ++agreed;
+        EXPECT_EQ(says(parsed), says(facts_of(text))) << text;
+        EXPECT_EQ(parsed.statements, 1) << text;
+        if (HasFailure()) return;
+    }
+    EXPECT_GT(plain, 1000u);
+    EXPECT_GT(agreed, 1000u);
+}
+
+}  // namespace
+}  // namespace flaxdoor::pg
