PostgreSQL: answers sooner than a floor are told to the module as the floor

Need: pgbench -M prepared stood still: clients of one thread prepare while others of it are in a transaction, and the module let two in where the pool has 20. A unit that only prepares is 20 times quicker than one that runs, which the module took for a crowd. Change: a floor under the latencies it is told, of which a whole pool at once keeps within half of the aim.

--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -414,7 +415,8 @@
             key_.reset();
             owner_.carrying_.erase(key);
             // Until the answer began: how long a transaction stays open is its client's doing.
-            const Micros latency = outcome == Outcome::ok ? latency_ : owner_.clock_.now() - since_;
+            const Micros latency = outcome == Outcome::ok ? std::max(latency_, owner_.options_.latency_floor)
+                                                          : owner_.clock_.now() - since_;
             owner_.end(key, outcome, whole, latency);
         }
 
--- a/src/settings/tables/postgres.h
+++ b/src/settings/tables/postgres.h
@@ -235,13 +235,14 @@
      .meaning = "What comes of a statement that leaves something in its session, in transaction mode: the "
                 "client keeps the connection, or the statement is refused."}};
 
-inline constexpr Key<Micros> aim{{.table = "postgres_database",
-                                  .name = "aim",
-                                  .fallback = std::chrono::seconds(2),
-                                  .least = std::chrono::milliseconds(1),
-                                  .most = std::chrono::hours(1),
-                                  .takes = Takes::reload,
-                                  .meaning = "The time in which the answer of a unit is wanted to begin."}};
+inline constexpr Key<Micros> aim{
+    {.table = "postgres_database",
+     .name = "aim",
+     .fallback = std::chrono::seconds(5),
+     .least = std::chrono::milliseconds(1),
+     .most = std::chrono::hours(1),
+     .takes = Takes::reload,
+     .meaning = "The time in which the answer of a unit is wanted to begin, of the slowest that are usual."}};
 
 inline constexpr Key<Micros> deadline{
     {.table = "postgres_database",
