--- a/tests/pg/clusters.h
+++ b/tests/pg/clusters.h
@@ -52,7 +52,8 @@
     Cluster(const Cluster&) = delete;
 
     // `auth` as in pg_hba.conf; the user app has the password "secret".
-    void make(const std::string& auth = "trust", const std::string& options = "") {
+    void make(const std::string& auth = "trust", const std::string& options = "",
+              const std::pair<std::string, std::string>& tls = {}) {
         std::ofstream(folder_ + "/password") << "secret\n";
         ::chmod((folder_ + "/password").c_str(), 0644);
         const std::string encryption = auth == "md5" ? "md5" : "scram-sha-256";
@@ -63,6 +64,13 @@
                  << "listen_addresses = '127.0.0.1'\nunix_socket_directories = ''\nfsync = off\n"
                  << "max_connections = 60\nport = " << port_ << "\n"
                  << options;
+        if (!tls.first.empty()) {
+            // The server wants its key for itself.
+            std::filesystem::copy_file(tls.second, folder_ + "/key.pem");
+            ::chmod((folder_ + "/key.pem").c_str(), 0644);
+            check(as_owner("install -m 600 " + folder_ + "/key.pem " + data() + "/server.key"));
+            settings << "ssl = on\nssl_cert_file = '" << tls.first << "'\n";
+        }
         settings.close();
         start();
     }
--- a/tests/pg/random_test.cpp
+++ b/tests/pg/random_test.cpp
@@ -1,1 +1,200 @@
-#include <gtest/gtest.h>
+// A property test: random clients, random traffic, servers that die, stall, drain and come back at random;
+// the four rules as assertions, judged from what the stand-ins counted.
+#include <random>
+
+#include "rig.h"
+
+namespace flaxdoor::pg::test {
+namespace {
+
+struct Worker {
+    std::shared_ptr<Client> client;
+    std::vector<std::vector<long>> units;  // of each unit that was sent on this connection, its effects
+    std::vector<long> open;                // of a transaction under way
+    std::vector<bool> in_transaction;      // of each unit, before it
+    std::vector<char> kind;  // 'i' insert, 'b' begin, 'c' commit, 'r' rollback, 's' select, 'g' segment
+};
+
+class World {
+public:
+    explicit World(std::uint64_t seed) : random_(seed) {
+        rig_.seed = seed;
+        rig_.deadline = 2s;
+        rig_.line_wait = 2s;
+        rig_.pool.connections = 3;
+        rig_.pool.login_again = 20ms;
+        rig_.session.mode = pick(4) == 0 ? Mode::session : Mode::transaction;
+        for (const char* name : {"a", "b", "c"}) rig_.add_server(name);
+        rig_.begin();
+    }
+
+    void run(int steps) {
+        for (int step = 0; step < steps; ++step) {
+            switch (pick(12)) {
+                case 0: trouble(); break;
+                case 1:
+                    if (workers_.size() < 8) connect();
+                    break;
+                case 2:
+                    if (!workers_.empty() && pick(4) == 0) leave(pick(workers_.size()));
+                    break;
+                default:
+                    if (!workers_.empty()) speak(workers_[pick(workers_.size())]);
+            }
+            rig_.settle(static_cast<int>(pick(4)));
+        }
+        for (const auto& server : rig_.servers) {
+            server->stall(false);
+            if (server->dead()) server->restart();
+            server->release();
+        }
+        // Rule 1: everybody gets an answer to everything, or an end.
+        for (Worker& worker : workers_) {
+            EXPECT_TRUE(rig_.until([&] {
+                for (const auto& server : rig_.servers) server->release();
+                return worker.client->ended() || worker.client->readies() >= worker.units.size();
+            })) << "an answer is missing";
+            judge(worker);
+        }
+        // Rule 2: nothing twice.
+        for (const auto& [number, effect] : rig_.journal.effects) {
+            EXPECT_LE(effect.executed, 1) << number;
+            EXPECT_LE(effect.committed, 1) << number;
+        }
+        EXPECT_EQ(rig_.core.figures().faults, 0u) << (rig_.log.lines.empty() ? "" : rig_.log.lines.front());
+    }
+    std::size_t units() const { return all_; }
+
+private:
+    std::size_t pick(std::size_t below) { return random_() % below; }
+
+    void connect() {
+        Worker worker;
+        worker.client = Client::logged_in(rig_);
+        if (!worker.client->ended()) workers_.push_back(std::move(worker));
+    }
+    void leave(std::size_t i) {
+        judge(workers_[i]);
+        workers_[i].client->close();
+        workers_.erase(workers_.begin() + static_cast<long>(i));
+    }
+
+    void speak(Worker& worker) {
+        if (worker.client->ended()) return;
+        // Up to three units behind each other without waiting.
+        if (worker.units.size() - worker.client->readies() >= 3) return;
+        const bool inside = !worker.in_transaction.empty() && state_after(worker);
+        std::vector<long> effects;
+        std::string bytes;
+        char kind = 's';
+        const auto insert = [&] {
+            effects.push_back(++last_);
+            return "INSERT INTO t VALUES (" + std::to_string(last_) + ")";
+        };
+        switch (pick(8)) {
+            case 0:
+                kind = inside ? 'c' : 'b';
+                bytes = wire::query(inside ? "COMMIT" : "BEGIN");
+                break;
+            case 1:
+                kind = inside ? 'r' : 's';
+                bytes = wire::query(inside ? "ROLLBACK" : "SELECT 1/0");
+                break;
+            case 2: bytes = wire::query("SELECT pg_sleep(1)"); break;
+            case 3: bytes = wire::extended("SELECT rows(20, 3000)") + wire::sync(); break;
+            case 4:
+                kind = 'g';
+                bytes = wire::extended(insert()) + wire::extended(insert()) + wire::sync();
+                break;
+            default:
+                kind = 'i';
+                bytes = pick(2) ? wire::query(insert()) : wire::extended(insert()) + wire::sync();
+        }
+        worker.in_transaction.push_back(inside);
+        worker.kind.push_back(kind);
+        worker.units.push_back(effects);
+        worker.client->send(bytes);
+        ++all_;
+    }
+
+    // As the client believes; it does not look at answers before it goes on.
+    static bool state_after(const Worker& worker) {
+        const char kind = worker.kind.back();
+        if (kind == 'b') return true;
+        if (kind == 'c' || kind == 'r') return false;
+        return worker.in_transaction.back();
+    }
+
+    // What was told of single units, which stand outside of any transaction, against what was counted.
+    void judge(const Worker& worker) {
+        const auto answers = worker.client->answers();
+        for (std::size_t i = 0; i < answers.size() && i < worker.units.size(); ++i) {
+            const Answer& answer = answers[i];
+            EXPECT_LE(answer.errors, 1u);
+            const bool single = !worker.in_transaction[i] && (i == 0 || answers[i - 1].status == 'I');
+            if (!single || answer.status == 0) continue;
+            for (const long number : worker.units[i]) {
+                const int committed = rig_.journal.effects[number].committed;
+                if (answer.errors == 0) {
+                    EXPECT_EQ(committed, 1) << "told committed: " << number;
+                } else if (answer.code != "08007" && answer.code != "57014") {
+                    EXPECT_EQ(committed, 0) << "told " << answer.code << ": " << number;
+                }
+            }
+        }
+    }
+
+    void trouble() {
+        wire::Server& server = *rig_.servers[pick(3)];
+        switch (pick(7)) {
+            case 0: server.die(pick(2) == 0); break;
+            case 1:
+                if (server.dead()) server.restart();
+                break;
+            case 2: server.release(); break;
+            case 3: rig_.journal.send_left = pick(400); break;
+            case 4: rig_.journal.receive_left = pick(400); break;
+            case 5: {
+                std::vector<UpstreamState> states;
+                for (int i = 0; i < 3; ++i)
+                    states.push_back(pick(3) ? UpstreamState::ready : UpstreamState::draining);
+                rig_.tell(states);
+                break;
+            }
+            default:
+                if (!workers_.empty()) {
+                    const auto& client = workers_[pick(workers_.size())].client;
+                    const auto other = std::make_shared<Client>(rig_);
+                    other->read();
+                    other->send(wire::cancel(client->process, client->secret));
+                }
+        }
+        for (const auto& each : rig_.servers) {
+            if (each->dead() && pick(3) == 0) each->restart();
+        }
+    }
+
+    std::mt19937_64 random_;
+    Rig rig_;
+    std::vector<Worker> workers_;
+    long last_ = 0;
+    std::size_t all_ = 0;
+};
+
+// FLAXDOOR_SEEDS: so many worlds, for a long run.
+TEST(Random, WorldsKeepTheRules) {
+    const char* const told = std::getenv("FLAXDOOR_SEEDS");
+    const std::uint64_t seeds = told ? std::stoul(told) : 40;
+    std::size_t units = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        World world(seed);
+        world.run(200);
+        units += world.units();
+        if (HasFailure()) return;
+    }
+    std::cout << seeds << " worlds, " << units << " units\n";
+}
+
+}  // namespace
+}  // namespace flaxdoor::pg::test
--- a/tests/pg/real_test.cpp
+++ b/tests/pg/real_test.cpp
@@ -11,6 +11,7 @@
 
 #include "clusters.h"
 #include "rig.h"
+#include "tls/certificates.h"
 
 namespace flaxdoor::pg::test {
 namespace {
@@ -194,6 +195,53 @@
     }
 }
 
+TEST_F(Real, TlsOnBothSides) {
+    const tls::test::Certificate here("here.example"), there("there.example"), stranger("there.example");
+    Cluster cluster;
+    cluster.make("trust", "", {there.certificate(), there.key()});
+    for (const bool trusted : {true, false}) {
+        Rig rig;
+        rig.deadline = 2s;
+        auto made = rig.make();
+        made.front.context = tls::Context::for_clients(here.certificate(), here.key());
+        made.front.tls_required = true;
+        made.front.users["app"].kind = Authentication::Kind::trust;
+        auto& db = made.databases[0];
+        db.name = db.back.database = "postgres";
+        db.back.tls = ServerOptions::Tls::verify_full;
+        db.back.context = tls::Context::for_servers((trusted ? there : stranger).certificate());
+        core::Member member;
+        member.name = "c";
+        member.address = "127.0.0.1:" + std::to_string(cluster.port());
+        member.entry.id = 1;
+        db.back.names[1] = "there.example";
+        db.members = {member};
+        rig.begin(std::move(made));
+        std::thread thread([&] {
+            const auto work = asio::make_work_guard(rig.io);
+            rig.io.run();
+        });
+        const string at =
+            "hostaddr=127.0.0.1 host=here.example port=" + std::to_string(rig.service->address().port()) +
+            " user=app dbname=postgres ";
+        EXPECT_EQ(PQstatus(connect(at + "sslmode=disable").get()), CONNECTION_BAD);
+        const auto secure = connect(at + "sslmode=verify-full sslrootcert=" + here.certificate());
+        EXPECT_EQ(PQstatus(secure.get()), trusted ? CONNECTION_OK : CONNECTION_BAD)
+            << PQerrorMessage(secure.get());
+        if (trusted) {
+            PGresult* const result =
+                PQexec(secure.get(), "SELECT ssl FROM pg_stat_ssl WHERE pid = pg_backend_pid()");
+            EXPECT_STREQ(PQgetvalue(result, 0, 0), "t");
+            PQclear(result);
+            PGresult* const large = PQexec(secure.get(), "SELECT repeat('x', 3000000)");
+            EXPECT_EQ(PQgetlength(large, 0, 0), 3'000'000);
+            PQclear(large);
+        }
+        asio::post(rig.io, [&] { rig.io.stop(); });
+        thread.join();
+    }
+}
+
 // What clients were told of each number they put in.
 struct Notes {
     std::mutex lock;
