PostgreSQL: a unit that was never sent waits in the line, not through the module's doubling gaps

Need: after a primary's death the successor served first after 13.8 s: PostgreSQL says that it was promoted only at the end of a query, and units whose attempts never ran waited out gaps that double. Change: a server of the wrong role is listed again after a second and asked by the first unit that comes there; a unit of which nothing was sent stands in the line again and is offered as soon as there may be room.

--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -163,6 +163,19 @@
             since_ = owner_.clock_.now();
             latency_ = Micros{0};
             owner_.carrying_[key] = self;
+            if (wrong_) {
+                // The server says how things stand with the end of a query, and not while it rests.
+                checking_ = true;
+                machine_.own_query("");
+                return flush();
+            }
+            begin_unit();
+        }
+
+        void begin_unit() {
+            const core::AttemptKey key = *key_;
+            const auto unit = unit_.lock();
+            if (!unit) return give_back(Outcome::moot);
             if (!owner_.core_.on_attempt_sending(key)) return give_back(Outcome::moot);
             if (!unit->on_link(*this)) return give_back(Outcome::moot);
             flush();
@@ -317,7 +330,22 @@
             if (!closed_ && !unit && aside_) settle();
         }
 
+        // Behind the empty query the server has said what it is now.
+        void was_checked() {
+            checking_ = false;
+            wrong_ = owner_.wrong_role(machine_);
+            if (!key_) return;  // taken away meanwhile
+            if (!wrong_) return begin_unit();
+            const core::AttemptKey key = *key_;
+            const auto unit = unit_.lock();
+            unit_.reset();
+            ear_ = true;
+            owner_.tell_role(upstream_, false);
+            end_attempt(key, Outcome::moot, false, unit);
+        }
+
         void mind_role() {
+            if (checking_) return;
             if (machine_.state() != ServerState::up || owner_.wrong_role(machine_) == wrong_) return;
             wrong_ = !wrong_;
             owner_.tell_role(upstream_, !wrong_);
@@ -333,6 +361,10 @@
                     case ServerEvent::Kind::failed: return login_failed(event->code, event->text);
                     case ServerEvent::Kind::spoilt: return lost();
                     case ServerEvent::Kind::settled:
+                        if (checking_) {
+                            was_checked();
+                            break;
+                        }
                         if (resetting_) {
                             was_reset(event->code.empty());
                             break;
@@ -393,7 +425,8 @@
             leave();
             owner_.pool_.on_gone(id_);
             const bool ran = loss.may_have_run || loss.passed;
-            if (key) end_attempt(*key, ran ? Outcome::reset : Outcome::connect_failed, ran);
+            if (key)
+                end_attempt(*key, ran ? Outcome::reset : Outcome::connect_failed, ran, ran ? nullptr : unit);
             if (unit) unit->after_server();
             owner_.run();
         }
@@ -411,9 +444,11 @@
             owner_.run();
         }
 
-        void end_attempt(core::AttemptKey key, Outcome outcome, bool whole) {
+        void end_attempt(core::AttemptKey key, Outcome outcome, bool whole,
+                         const std::shared_ptr<Unit>& unsent = nullptr) {
             key_.reset();
             owner_.carrying_.erase(key);
+            if (unsent) owner_.units_[key] = unsent;
             // Until the answer began: how long a transaction stays open is its client's doing.
             const Micros latency = outcome == Outcome::ok ? std::max(latency_, owner_.options_.latency_floor)
                                                           : owner_.clock_.now() - since_;
@@ -424,6 +459,7 @@
         void set_aside() {
             if (closed_) return;
             aside_ = true;
+            if (checking_) return;  // it settles with that
             stream_->pause(false);
             if (!machine_.output().empty()) return give_up();
             if (!machine_.quiet()) {
@@ -480,6 +516,7 @@
         bool cancel_lost_ = false;
         bool dirty_ = false, aside_ = false, resetting_ = false, closed_ = false;
         bool pumping_ = false, settle_due_ = false;
+        bool checking_ = false;             // what the server is, before a unit is begun
         bool wrong_ = false, ear_ = false;  // the server's role; and this is kept for it to say otherwise
     };
 
@@ -611,6 +648,8 @@
     }
 
     void end(core::AttemptKey key, Outcome outcome, bool whole, Micros latency = {}, bool own_fault = false) {
+        const auto waiting = units_.find(key);
+        const auto unit = waiting == units_.end() ? nullptr : waiting->second.lock();
         units_.erase(key);
         core::AttemptResult result;
         result.key = key;
@@ -618,7 +657,8 @@
         result.own_fault = own_fault;
         result.whole = whole;
         result.latency = latency;
-        core_.on_attempt_end(std::move(result));
+        if (!unit) return core_.on_attempt_end(std::move(result));
+        unit->ended_unsent([&] { core_.on_attempt_end(std::move(result)); });
     }
 
     std::shared_ptr<Link> carrying(core::AttemptKey key) const {
--- a/src/pg/front.cpp
+++ b/src/pg/front.cpp
@@ -517,7 +517,7 @@
             // No place now: it stands in the line before the module would have given it up.
             owner_.core_.leave(std::exchange(call_, 0));
             inside_ = false;
-            line.back(number_);
+            line.back(number_, wants_.since + db_->line_wait);
             owner_.mind_line(owner_.line_of(*this));
         }
 
@@ -546,6 +546,20 @@
             if (carrier_ && !keep_link) std::exchange(carrier_, nullptr)->abandon(Outcome::cancelled);
         }
         void on_placed() override { placed_ = true; }
+        // The module would try again after gaps that double. It stands in the line instead, where it is
+        // offered as soon as there may be room, or another server.
+        void ended_unsent(const std::function<void()>& tell) override {
+            const std::uint32_t unit = unit_;
+            placed_ = false;
+            tell();
+            if (unit != unit_ || call_ == 0 || placed_ || !inside_ || carrier_) return;
+            LineState& state = owner_.line_of(*this);
+            if (state.offering || !state.line.takes_back()) return;
+            owner_.core_.leave(std::exchange(call_, 0));
+            inside_ = false;
+            state.line.back(number_, wants_.since + db_->line_wait);
+            owner_.mind_line(state);
+        }
         void unit_started() override {
             if (carrier_) carrier_->started();
         }
--- a/src/pg/line.h
+++ b/src/pg/line.h
@@ -36,7 +36,6 @@
         const bool may = inside_ == 0 || (served_.at(its_class) && skip_ == 0);
         if (queue_.empty() && may) {
             ++inside_;
-            offered_until_ = now + wait_;
             return Arrival::offer;
         }
         if (queue_.size() >= most_) return Arrival::full;
@@ -52,9 +51,9 @@
     // Whether one that has no place now is to stand here again. Not the only one: nobody's end would bring it
     // on, and the module has its own way with it.
     bool takes_back() const { return inside_ > 1; }
-    void back(Token token) {
+    void back(Token token, Time until) {
         --inside_;
-        push(queue_.begin(), token, offered_until_);
+        push(queue_.begin(), token, until);
         hold(std::clamp<std::size_t>(2 * backoff_, 1, longest_));
     }
     // The module has given it up at once.
@@ -83,7 +82,6 @@
         if (credit_ > 0) --credit_;
         ++inside_;
         const Token token = queue_.front().token;
-        offered_until_ = queue_.front().until;
         known_.erase(token);
         queue_.pop_front();
         return token;
@@ -142,7 +140,6 @@
     std::size_t credit_ = 0;  // that may be offered now
     std::size_t skip_ = 0, backoff_ = 0;
     std::array<bool, 2> served_{};  // by class
-    Time offered_until_{};
 };
 
 }  // namespace flaxdoor::pg
--- a/src/pg/service.cpp
+++ b/src/pg/service.cpp
@@ -6,7 +6,11 @@
 
 Service::Service(const loop::Executor& executor, core::Core& core, const loop::Clock& clock,
                  ServiceOptions options)
-    : core_(core), gate_(options.logins_at_once), secrets_(std::move(options.secrets)) {
+    : core_(core),
+      alarms_(executor, clock),
+      gate_(options.logins_at_once),
+      role_again_(options.role_again),
+      secrets_(std::move(options.secrets)) {
     budget_.most = options.servers_most;
     try {
         for (DatabaseOptions& each : options.databases) {
@@ -81,8 +85,16 @@
 }
 
 void Service::on_role(Database& database, UpstreamId upstream, bool right) {
-    const bool changed = right ? database.wrong.erase(upstream) > 0 : database.wrong.insert(upstream).second;
-    if (changed && database.pool) tell_members(database);
+    if (right) return list_again(database, upstream);
+    auto& timer = database.wrong[upstream];
+    const bool listed = !timer;
+    if (listed) timer = std::make_unique<Alarms::One>(alarms_);
+    timer->after(role_again_, [this, &database, upstream] { list_again(database, upstream); });
+    if (listed) tell_members(database);
+}
+
+void Service::list_again(Database& database, UpstreamId upstream) {
+    if (database.wrong.erase(upstream) > 0) tell_members(database);
 }
 
 }  // namespace flaxdoor::pg
--- a/src/pg/service.h
+++ b/src/pg/service.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +15,7 @@
 #include "loop/clock.h"
 #include "loop/executor.h"
 #include "loop/sockets.h"
+#include "pg/alarms.h"
 #include "pg/back.h"
 #include "pg/front.h"
 
@@ -37,6 +37,7 @@
     std::size_t logins_at_once = 4;   // at one server, over all pools
     std::size_t servers_most = 1000;  // connections to servers
     std::uint64_t seed = 0;
+    Micros role_again = std::chrono::seconds(1);  // until a server of the wrong role is listed again
 };
 
 class Service {
@@ -64,17 +65,21 @@
         std::unique_ptr<Back> back;
         std::uint64_t version = 0;
         std::vector<core::Member> members;
-        std::set<UpstreamId> wrong;  // of these, those that have said to have another role
+        // Of these, those that have said to have another role, and when they are listed again.
+        std::map<UpstreamId, std::unique_ptr<Alarms::One>> wrong;
     };
 
     void give_front(FrontOptions& front, DatabaseOptions& options, Database& database);
     void tell_members(Database& database);
     void on_role(Database& database, UpstreamId upstream, bool right);
+    void list_again(Database& database, UpstreamId upstream);
 
     core::Core& core_;
+    Alarms alarms_;
     LoginGate gate_;
     ServerBudget budget_;
     Micros longest_{};
+    Micros role_again_{};
     Secrets secrets_;
     std::map<std::string, Database> databases_;
     std::unique_ptr<Front> front_;
--- a/src/pg/unit.h
+++ b/src/pg/unit.h
@@ -2,6 +2,7 @@
 // loop.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -38,6 +39,8 @@
     virtual const std::string& user() const = 0;
     // The module has found it a place; it may still wait for a connection.
     virtual void on_placed() = 0;
+    // An attempt of it has ended with nothing sent: `tell` says so to the core.
+    virtual void ended_unsent(const std::function<void()>& tell) = 0;
     // The one that it wants and no other.
     virtual Carrier* tied() const = 0;
     [[nodiscard]] virtual bool on_link(Carrier& carrier) = 0;
--- a/standins/pg_server.cpp
+++ b/standins/pg_server.cpp
@@ -140,9 +140,6 @@
             out_ += bytes;
             send();
         }
-        void tell_promotion() {
-            if (logged_in_) say(message('S', text0("in_hot_standby") + text0("off")));
-        }
 
     private:
         void took(std::string_view bytes) {
@@ -201,6 +198,7 @@
 
         void welcome() {
             process_ = ++owner_.last_process_;
+            said_standby_ = owner_.options_.standby;
             out_ += message('R', int32(0));
             const std::vector<std::pair<std::string, std::string>> settings{
                 {"application_name", ""},      {"client_encoding", "UTF8"},
@@ -400,6 +398,9 @@
         void ready() {
             if (status_ == 'I') commit();
             skipping_ = in_simple_ = false;
+            // As PostgreSQL does: with the end of a query, never while it rests.
+            if (std::exchange(said_standby_, owner_.options_.standby) != owner_.options_.standby)
+                out_ += message('S', text0("in_hot_standby") + text0(owner_.options_.standby ? "on" : "off"));
             out_ += message('Z', std::string(1, status_));
             send();
         }
@@ -461,6 +462,7 @@
         bool asked_ = false, logged_in_ = false, ended_ = false, mute_ = false;
         bool skipping_ = false, extended_ = false, copying_ = false, sleeping_ = false, endless_ = false;
         bool sending_ = false, failed_now_ = false, waits_ = false, cancel_held_ = false, in_simple_ = false;
+        bool said_standby_ = false;
     };
 
     void carry_out_cancel(std::uint32_t process) {
@@ -513,11 +515,7 @@
     for (const auto& session : sessions) session->wake();
 }
 void Server::alter() { ++impl_->version_; }
-void Server::promote() {
-    impl_->options_.standby = false;
-    const auto sessions = impl_->sessions_;
-    for (const auto& session : sessions) session->tell_promotion();
-}
+void Server::promote() { impl_->options_.standby = false; }
 void Server::say(const std::string& bytes) {
     const auto sessions = impl_->sessions_;
     for (const auto& session : sessions) session->say(bytes);
--- a/standins/pg_server.h
+++ b/standins/pg_server.h
@@ -60,7 +60,7 @@
 
     void release();  // whoever sleeps
     void alter();    // a table that prepared statements stand on
-    void promote();  // a standby says so on all its connections
+    void promote();  // a standby; its sessions hear of it with their next query
     // Raw bytes to every session.
     void say(const std::string& bytes);
     void stall(bool stalled);  // takes no bytes
--- a/tests/pg/line_test.cpp
+++ b/tests/pg/line_test.cpp
@@ -32,7 +32,7 @@
     line.placed();
     ASSERT_EQ(line.arrive(2, 0, start), Line::Arrival::offer);
     ASSERT_TRUE(line.takes_back());
-    line.back(2);
+    line.back(2, start + 5s);
     EXPECT_EQ(line.arrive(3, 0, start), Line::Arrival::waits);
     EXPECT_FALSE(line.next()) << "nothing has ended";
     line.ended(0);
@@ -68,7 +68,7 @@
         switch (random(4)) {
             case 0:
                 if (line.takes_back()) {
-                    line.back(token);
+                    line.back(token, now + 500ms);
                     ++waiting;
                     return;
                 }
--- a/tests/pg/rig.h
+++ b/tests/pg/rig.h
@@ -67,6 +67,7 @@
         ServiceOptions made;
         made.listen = loop::parse_endpoint("127.0.0.1:0");
         made.seed = seed;
+        made.role_again = 50ms;
         made.front.users["u"].kind = Authentication::Kind::trust;
         made.front.ignored_settings = {"extra_float_digits"};
         DatabaseOptions db;
