--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -817,6 +817,21 @@
     EXPECT_EQ(answer.rows[2].size(), 3'000'000u);
 }
 
+TEST(Pooling, NothingIsLeftInTheCore) {
+    Rig rig;
+    rig.add_server("a");
+    rig.begin();
+    for (int i = 0; i < 3; ++i) {
+        const auto client = Client::logged_in(rig);
+        (void)client->ask(simple("SELECT 1"));
+        (void)client->ask(simple("BEGIN"));
+        client->close();
+        EXPECT_TRUE(rig.until([&] { return rig.service->figures().connections == 0; }));
+    }
+    EXPECT_EQ(rig.core.figures().waiting, 0u);
+    EXPECT_EQ(rig.core.figures().open, 0u);
+}
+
 TEST(Pooling, RowLimitsAndPortalsWithinATransaction) {
     Rig rig;
     rig.add_server("a");
--- a/tests/pg/random_test.cpp
+++ b/tests/pg/random_test.cpp
@@ -61,6 +61,10 @@
             EXPECT_LE(effect.executed, 1) << number;
             EXPECT_LE(effect.committed, 1) << number;
         }
+        for (const Worker& worker : workers_) worker.client->close();
+        EXPECT_TRUE(rig_.until([&] { return rig_.service->figures().connections == 0; }));
+        EXPECT_TRUE(rig_.until([&] { return rig_.core.figures().open == 0; }))
+            << "a call is left in the core";
         EXPECT_EQ(rig_.core.figures().faults, 0u) << (rig_.log.lines.empty() ? "" : rig_.log.lines.front());
     }
     std::size_t units() const { return all_; }
