--- a/bench/pg_vs_pgbouncer.py
+++ b/bench/pg_vs_pgbouncer.py
@@ -166,7 +166,9 @@
                 for s in held:
                     s.close()
         subprocess.run(["kill", "-TERM", str(both["ours"][0])])
-        time.sleep(2)
+        for process in started:
+            if process.pid == both["ours"][0]:
+                process.wait(60)  # its drain waits for the longest deadline at most
         told = [line for line in open(folder + "/%s.log" % mode) if "units" in line]
         print("transactions of pgbench's through ours: %d; %s" % (units, "".join(told).strip()))
 finally:
--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -286,6 +286,8 @@
         void on_connected(const error_code& error) override {
             const auto self = shared_from_this();
             if (closed_) return;
+            if (error && loop::own_want(error))
+                return login_ended(LoginEnd::own, "own want: " + error.message());
             if (error) return login_failed("", "it can't be reached: " + error.message());
             stream_->begin();
             stream_->flush();
@@ -403,12 +405,16 @@
         }
 
         void login_failed(const std::string& code, const std::string& text) {
+            const bool full = code == "53300" || code == "53400";
+            login_ended(full ? LoginEnd::full : LoginEnd::down, (code.empty() ? "" : code + " ") + text);
+        }
+
+        void login_ended(LoginEnd end, const std::string& text) {
             if (closed_) return;
             const auto self = shared_from_this();
-            owner_.login_error_ = "login failed: " + (code.empty() ? "" : code + " ") + text;
-            const bool full = code == "53300" || code == "53400";
+            owner_.login_error_ = "login failed: " + text;
             leave();
-            owner_.pool_.on_login(id_, full ? LoginEnd::full : LoginEnd::down, owner_.clock_.now());
+            owner_.pool_.on_login(id_, end, owner_.clock_.now());
             owner_.login_over();
         }
 
@@ -737,7 +743,7 @@
         if (budget_.open >= budget_.most) {
             const auto oldest = pool_.longest_idle();
             const auto found = oldest ? links_.find(*oldest) : links_.end();
-            if (found == links_.end()) return pool_.on_login(action.link, LoginEnd::full, clock_.now());
+            if (found == links_.end()) return pool_.on_login(action.link, LoginEnd::own, clock_.now());
             const auto link = found->second;
             links_.erase(found);
             link->close();
--- a/src/pg/pool.cpp
+++ b/src/pg/pool.cpp
@@ -103,9 +103,10 @@
         end_line(place->second, Outcome::connect_failed, place->second.line.size());
     } else if (place->second.all == 0) {
         // Somebody else has all its places: nobody here will give one back.
-        end_line(place->second, Outcome::full, place->second.line.size());
+        end_line(place->second, end == LoginEnd::own ? Outcome::moot : Outcome::full,
+                 place->second.line.size());
     }
-    if (end == LoginEnd::full) place->second.no_login_until = now + limits_.login_again;
+    if (end != LoginEnd::down) place->second.no_login_until = now + limits_.login_again;
     forget_place(key);
 }
 
--- a/src/pg/pool.h
+++ b/src/pg/pool.h
@@ -58,6 +58,7 @@
     up,
     down,   // it can't be reached, or is starting or stopping
     full,   // it is there and takes no more connections
+    own,    // this program's own want: descriptors, ports; says nothing of the server
     apart,  // it is up, and kept apart from the pool until on_free()
 };
 
--- a/src/pg/session.cpp
+++ b/src/pg/session.cpp
@@ -250,7 +250,6 @@
     }
     for (const auto& option : wanted_) {
         add_setting(sql, option.name, option.value);
-        pinned_ = true;
     }
     if (sql.empty()) return false;
     server_->own_query(sql);
@@ -274,6 +273,7 @@
         pinned_ = true;  // what it has taken of it is not known: it is made clean
         return close_with(event.code, event.text);
     }
+    if (!wanted_.empty()) pinned_ = true;  // what it does not report stays with this connection
     wanted_.clear();
     adopt_parameters();
     run_held();
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -455,6 +455,23 @@
     EXPECT_EQ(first->ask(simple("SELECT 1")).rows.size(), 1u);
 }
 
+TEST(Limits, OfOneUserAndOneDatabase) {
+    for (const bool of_user : {true, false}) {
+        Rig rig;
+        rig.add_server("a");
+        auto made = rig.make();
+        (of_user ? made.front.users["u"].clients_most : made.databases[0].front.clients_most) = 1;
+        rig.begin(std::move(made));
+        const auto first = Client::logged_in(rig);
+        const auto second = Client::logged_in(rig);
+        EXPECT_TRUE(second->ended());
+        EXPECT_EQ(second->answers()[0].code, "53300");
+        first->close();
+        EXPECT_TRUE(rig.until([&] { return rig.service->figures().sessions == 0; }));
+        EXPECT_FALSE(Client::logged_in(rig)->ended()) << "its place is free again";
+    }
+}
+
 TEST(Limits, UnknownDatabaseOrUser) {
     Rig rig;
     rig.add_server("a");
--- a/tests/pg/pool_test.cpp
+++ b/tests/pg/pool_test.cpp
@@ -66,6 +66,15 @@
     }
 }
 
+TEST(Pool, OwnWantSaysNothingOfTheServer) {
+    LoginGate gate(4);
+    Pool pool(gate, {.login_again = 1s});
+    pool.set_server(1, "x", true);
+    pool.want(key(1), 1, "u", start);
+    pool.on_login(all(pool).at(0).link, LoginEnd::own, start);
+    EXPECT_EQ(all(pool).at(0).outcome, Outcome::moot);
+}
+
 TEST(Pool, ADrainClosesWhatIsIdleAndLetsNobodyIn) {
     LoginGate gate(4);
     Pool pool(gate, {});
--- a/tests/pg/real_test.cpp
+++ b/tests/pg/real_test.cpp
@@ -195,6 +195,45 @@
     }
 }
 
+TEST_F(Real, SettingsAndPlansGoWithTheClient) {
+    Cluster cluster;
+    cluster.make();
+    cluster.sql("CREATE TABLE t (a int)");
+    Running running({&cluster});
+    const auto first = connect(running.at()), second = connect(running.at());
+    const auto zone = [](PGconn* connection) {
+        PGresult* const result = PQexec(connection, "SHOW TimeZone");
+        const string value = PQresultStatus(result) == PGRES_TUPLES_OK ? PQgetvalue(result, 0, 0)
+                                                                       : PQresultErrorMessage(result);
+        PQclear(result);
+        return value;
+    };
+    const string before = zone(second.get());
+    ASSERT_TRUE(ask(first.get(), "SET TimeZone TO 'Asia/Tokyo'").ok);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(zone(second.get()), before);
+        EXPECT_EQ(zone(first.get()), "Asia/Tokyo");
+    }
+    // One that is rolled back is not kept.
+    (void)ask(second.get(), "BEGIN");
+    (void)ask(second.get(), "SET TimeZone TO 'Asia/Tokyo'");
+    (void)ask(second.get(), "ROLLBACK");
+    EXPECT_EQ(zone(second.get()), before);
+
+    PQclear(PQprepare(first.get(), "s", "SELECT * FROM t", 0, nullptr));
+    const auto use = [&] {
+        PGresult* const result = PQexecPrepared(first.get(), "s", 0, nullptr, nullptr, nullptr, 0);
+        const char* const code = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+        const string said = code ? code : "columns " + std::to_string(PQnfields(result));
+        PQclear(result);
+        return said;
+    };
+    EXPECT_EQ(use(), "columns 1");
+    ASSERT_TRUE(ask(second.get(), "ALTER TABLE t ADD COLUMN b int").ok);
+    EXPECT_EQ(use(), "0A000") << "once, as without a pooler";
+    EXPECT_EQ(use(), "columns 2");
+}
+
 TEST_F(Real, TlsOnBothSides) {
     const tls::test::Certificate here("here.example"), there("there.example"), stranger("there.example");
     Cluster cluster;
