--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -824,6 +824,36 @@
     ASSERT_TRUE(rig.until([&] { return client->messages().back().type == 'A'; }));
 }
 
+TEST(Pooling, ACopyThatItsClientGivesUp) {
+    Rig rig;
+    rig.add_server("a");
+    rig.begin();
+    const auto client = Client::logged_in(rig);
+    const Answer answer = client->ask(simple("COPY t FROM STDIN") + wire::copy_data("1\n") +
+                                      wire::message('f', wire::text0("no more")));
+    EXPECT_EQ(answer.code, "57014");
+    EXPECT_EQ(answer.status, 'I');
+    // What still comes of it is dropped, as the server does.
+    EXPECT_EQ(client->ask(wire::copy_data("2\n") + wire::copy_done() + simple("SELECT 1")).rows.size(), 1u);
+    EXPECT_EQ(rig.journal.effects[1].committed, 0);
+}
+
+TEST(Pooling, ACopyByTheExtendedProtocolWithASyncAhead) {
+    Rig rig;
+    rig.add_server("a");
+    rig.begin();
+    const auto client = Client::logged_in(rig);
+    // libpq sends Sync with Execute, and another one behind CopyDone: the first is not answered.
+    client->send(wire::extended("COPY t FROM STDIN") + wire::sync());
+    ASSERT_TRUE(
+        rig.until([&] { return !client->messages().empty() && client->messages().back().type == 'G'; }));
+    client->send(wire::copy_data("1\n") + wire::copy_done() + wire::sync());
+    ASSERT_TRUE(rig.until([&] { return client->readies() == 1; }));
+    EXPECT_EQ(client->answers()[0].errors, 0u) << client->answers()[0].text;
+    EXPECT_EQ(rig.journal.effects[1].committed, 1);
+    EXPECT_EQ(client->ask(simple("SELECT 1")).rows.size(), 1u);
+}
+
 TEST(Pooling, ALongRowIsPassedInPieces) {
     Rig rig;
     rig.add_server("a");
--- a/tests/pg/server_machine_test.cpp
+++ b/tests/pg/server_machine_test.cpp
@@ -138,6 +138,20 @@
     EXPECT_TRUE(machine.quiet());
 }
 
+TEST(ServerMachine, AFunctionCallIsAnsweredOnce) {
+    ServerMachine machine = up();
+    machine.begin_unit();
+    machine.mark(true, true);
+    machine.function_call(wire::int32(1) + wire::int16(0) + wire::int16(0) + wire::int16(0));
+    EXPECT_EQ(machine.output().front(), 'F');
+    machine.receive(wire::message('V', wire::int32(~0u)) + wire::message('Z', "I"));
+    EXPECT_EQ(machine.next()->message.type, 'V');
+    EXPECT_EQ(machine.next()->kind, Kind::ready);
+    EXPECT_TRUE(machine.quiet());
+    machine.receive(wire::message('V', wire::int32(~0u)));
+    EXPECT_EQ(machine.next()->kind, Kind::spoilt);
+}
+
 TEST(ServerMachine, HiddenParsesAreHidden) {
     ServerMachine machine = up();
     Statements statements;
