--- a/src/pg/front.cpp
+++ b/src/pg/front.cpp
@@ -9,6 +9,7 @@
 #include "pg/alarms.h"
 #include "pg/line.h"
 #include "pg/stream.h"
+#include "pg/text.h"
 #include "pg/unit.h"
 
 namespace flaxdoor::pg {
@@ -32,12 +33,6 @@
     return bytes;
 }
 
-std::string lower(std::string_view text) {
-    std::string out(text);
-    for (char& c : out) c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    return out;
-}
-
 // "-c name=value --name=value" of the start-up setting `options`; nothing: it has something else.
 std::optional<std::vector<StartupOption>> command_line(std::string_view text) {
     std::vector<std::string> words;
--- a/src/pg/server_machine.cpp
+++ b/src/pg/server_machine.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pg/text.h"
+
 namespace flaxdoor::pg {
 
 namespace {
@@ -10,13 +12,6 @@
 constexpr std::size_t spent_most = 64 << 10;
 constexpr std::string_view mechanism = "SCRAM-SHA-256";
 
-std::string lower(std::string_view text) {
-    std::string out(text);
-    std::transform(out.begin(), out.end(), out.begin(),
-                   [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
-    return out;
-}
-
 }  // namespace
 
 std::string_view text_of(ServerState state) {
--- a/src/pg/session.cpp
+++ b/src/pg/session.cpp
@@ -3,17 +3,12 @@
 #include <algorithm>
 #include <array>
 
+#include "pg/text.h"
+
 namespace flaxdoor::pg {
 
 namespace {
 
-std::string lower(std::string_view text) {
-    std::string out(text);
-    std::transform(out.begin(), out.end(), out.begin(),
-                   [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
-    return out;
-}
-
 // Settings that the server reports and that a client may choose: they go with it from server to server.
 constexpr std::array carried{"client_encoding", "datestyle",        "timezone",
                              "intervalstyle",   "application_name", "standard_conforming_strings"};
--- a/src/pg/sql.cpp
+++ b/src/pg/sql.cpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "pg/text.h"
+
 namespace flaxdoor::pg {
 
 namespace {
@@ -20,7 +22,6 @@
 // CURSOR_OPT_HOLD of PostgreSQL 15 (nodes/parsenodes.h).
 constexpr int cursor_holds = 0x20;
 
-char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 bool starts_word(char c) { return (lower(c) >= 'a' && lower(c) <= 'z') || c == '_'; }
 bool is_digit(char c) { return c >= '0' && c <= '9'; }
 bool in_word(char c) { return starts_word(c) || is_digit(c) || c == '$'; }
@@ -39,8 +40,7 @@
 
 // A word that a plain text does not have, whatever it stands for there.
 bool might_matter(std::string_view word) {
-    std::string name(word);
-    std::transform(name.begin(), name.end(), name.begin(), lower);
+    const std::string name = lower(word);
     if (name == "temp" || name == "temporary" || name == "pg_temp" || name.starts_with("pg_temp_"))
         return true;
     return name.find("advisory") != std::string::npos || pinning_function(name);
