PostgreSQL: a drain told while the settings are on their way holds for the unit

Change: the back looks again before the unit's first byte; it goes elsewhere as never sent. The stand-in's stall holds what is read already. A function that nobody called is gone.

--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -337,6 +337,8 @@
             checking_ = false;
             wrong_ = owner_.wrong_role(machine_);
             if (!key_) return;  // taken away meanwhile
+            // Told to drain meanwhile: what was placed before that is new work all the same.
+            if (!wrong_ && !takes_work()) return give_back(Outcome::moot);
             if (!wrong_) return begin_unit();
             const core::AttemptKey key = *key_;
             const auto unit = unit_.lock();
@@ -371,6 +373,11 @@
                             was_reset(event->code.empty());
                             break;
                         }
+                        // The unit itself comes only now: not to a server that was told to drain meanwhile.
+                        if (key_ && !takes_work()) {
+                            lose_unit(Outcome::moot);
+                            break;
+                        }
                         [[fallthrough]];
                     default:
                         if (const auto unit = unit_.lock()) unit->on_server(*event);
--- a/src/pg/session.h
+++ b/src/pg/session.h
@@ -115,8 +115,6 @@
     // The linked server is lost. What is told decides whether the unit may go elsewhere; on_link, on_refused
     // or on_failed follows where a unit was open.
     Loss on_server_lost();
-    // The attempt's time is up, or it was cancelled: the link is gone, and what the server does is not heard.
-    Loss on_unlinked() { return on_server_lost(); }
 
     // ----------------------------------------------------------------------------------------------- the end
     void on_refused(const Refusal& refusal);
--- a/standins/pg_server.cpp
+++ b/standins/pg_server.cpp
@@ -92,12 +92,19 @@
             socket_.async_read_some(asio::buffer(room_), [self](error_code error, std::size_t size) {
                 if (self->ended_) return;
                 if (error) return self->end(false);
+                if (self->owner_.stalled_) {
+                    self->unread_.assign(self->room_.data(), size);
+                    self->waits_ = true;
+                    return;
+                }
                 self->took(std::string_view(self->room_.data(), size));
                 if (!self->ended_) self->read();
             });
         }
         void go_on() {
-            if (std::exchange(waits_, false)) read();
+            if (!std::exchange(waits_, false)) return;
+            took(std::exchange(unread_, {}));
+            if (!ended_) read();
         }
 
         void end(bool reset) {
@@ -453,7 +460,7 @@
         Impl& owner_;
         tcp::socket socket_;
         std::array<char, 16384> room_{};
-        std::string in_, out_, copied_;
+        std::string in_, out_, copied_, unread_;
         std::map<std::string, Statement> prepared_;
         std::map<std::string, std::string> portals_;
         std::vector<long> pending_;
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -624,6 +624,23 @@
         << "its connections were given back";
 }
 
+TEST(Drain, ToldWhileTheSettingsAreOnTheirWayTheUnitGoesElsewhere) {
+    Rig rig;
+    rig.add_server("a");
+    rig.begin();
+    const auto client = Client::logged_in(rig, {{"application_name", "x"}});
+    rig.servers[0]->stall(true);
+    client->send(simple(insert(1)));
+    rig.settle();
+    rig.add_server("b");
+    rig.tell({UpstreamState::draining, UpstreamState::ready});
+    rig.servers[0]->stall(false);
+    ASSERT_TRUE(rig.until([&] { return client->readies() == 1; }));
+    EXPECT_EQ(client->answers()[0].tag, "INSERT 0 1") << client->answers()[0].code;
+    EXPECT_EQ(with_text(rig, "a: INSERT"), 0u) << "new work after the drain was told";
+    EXPECT_EQ(rig.journal.effects[1].committed, 1);
+}
+
 TEST(Drain, AtItsLimitWhatIsStillOpenIsEnded) {
     Rig rig;
     rig.drain_limit = 100ms;
