Gateway: pods that became ready before our eyes start cold, a drain goes on taking clients for a while

Need: slices do not tell when a pod started, so a pool that is new would have pushed pods that had just come up; and a balancer that ends closed its listeners at once, while whoever leads clients to it still did.

Change: the controller notes when a pod became ready (those of its first list count as warm) and hands that on with the pool; a side of the engine is asked to wind down when the daemon's own listener is, and whether others are still to be answered.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -253,7 +253,8 @@
     // Guards against a request lost at the end: one that is half here, or not yet read, is taken and answered
     // too. A client that never ends its own is not waited for beyond the longest deadline.
     void wind_down() {
-        const bool others = (front_ && front_->wind_down()) || core_.figures().waiting > 0;
+        bool others = (front_ && front_->wind_down()) || core_.figures().waiting > 0;
+        for (const auto& side : sides_) others = side->wind_down() || others;
         if (others && clock_.now() < drain_end_) return wind_down_after(drain_poll);
         drained_ = true;
         log_.line("drained");
--- a/src/engine/side.h
+++ b/src/engine/side.h
@@ -22,8 +22,12 @@
     // The operator's file has changed. False: something that it names can't be used, and what there was
     // stays.
     virtual bool change(const settings::Values& operators) = 0;
-    // Takes nothing new, and lets go of what rests.
+    // The end has begun. Either takes nothing new from now on, and lets go of what rests; or goes on until
+    // wind_down(), which comes once nobody should be led here any more.
     virtual void begin_drain() = 0;
+    // From now on nobody new is taken. Returns whether there are others, who are still to be answered; to be
+    // called again until there are none.
+    [[nodiscard]] virtual bool wind_down() { return false; }
     // Answers what is left. Its pools are still there.
     virtual void stop() = 0;
     // The longest that a call of it may take.
--- a/src/gateway/controller.cpp
+++ b/src/gateway/controller.cpp
@@ -32,9 +32,30 @@
     services_dirty_.insert(touched.services.begin(), touched.services.end());
 }
 
-std::string Controller::put(KindOf kind, const Json& object) {
-    guard_.on_event(kind, key_of(object));
+// A pod that becomes ready has just started, as far as is known; those that were when the first list came
+// have not.
+void Controller::follow_pods(Time now, const std::string& slice, bool first) {
+    const auto held = resources_.slices.find(slice);
+    if (held == resources_.slices.end()) {
+        ready_since_.erase(slice);
+        return;
+    }
+    auto& before = ready_since_[slice];
+    std::map<std::string, Time> ready;
+    for (const auto& each : held->second->endpoints) {
+        if (!each.ready) continue;
+        const std::string pod = pod_of(each);
+        const auto known = before.find(pod);
+        ready[pod] = known != before.end() ? known->second : first ? Time{} : now;
+    }
+    before = std::move(ready);
+}
+
+std::string Controller::put(Time now, KindOf kind, const Json& object) {
+    const std::string key = key_of(object);
+    guard_.on_event(kind, key);
     const Touched touched = resources_.put(kind, object);
+    if (kind == KindOf::endpoint_slice) follow_pods(now, key, false);
     note(touched);
     mind_guard();
     return touched.refused;
@@ -43,6 +64,7 @@
 void Controller::erase(KindOf kind, const std::string& key) {
     guard_.on_event(kind, key);
     note(resources_.erase(kind, key));
+    if (kind == KindOf::endpoint_slice) ready_since_.erase(key);
     mind_guard();
 }
 
@@ -62,6 +84,12 @@
     }
     for (const std::string& key : guard_.on_list(now, kind, had, std::move(gone)))
         note(resources_.erase(kind, key));
+    if (kind == KindOf::endpoint_slice) {
+        for (const std::string& key : resources_.keys(kind)) follow_pods(now, key, !slices_listed_);
+        std::erase_if(ready_since_,
+                      [&](const auto& each) { return !resources_.slices.contains(each.first); });
+        slices_listed_ = true;
+    }
     mind_guard();
     return refused;
 }
@@ -75,7 +103,10 @@
 }
 
 void Controller::tick(Time now) {
-    for (const auto& [kind, key] : guard_.due(now)) note(resources_.erase(kind, key));
+    for (const auto& [kind, key] : guard_.due(now)) {
+        note(resources_.erase(kind, key));
+        if (kind == KindOf::endpoint_slice) ready_since_.erase(key);
+    }
     mind_guard();
 }
 
@@ -105,11 +136,20 @@
     }
     for (const auto& [key, pool] : pools_) {
         if (!all && !services_dirty_.contains(pool.service)) continue;
-        PoolNews news{key, pool, endpoints_of(resources_, pool)};
+        PoolNews news{key, pool, endpoints_of(resources_, pool), {}};
+        std::map<std::string, Time> since;  // the latest that any slice of the Service tells
+        if (const auto slices = resources_.slices_of.find(pool.service);
+            slices != resources_.slices_of.end()) {
+            for (const auto& [slice, its] : slices->second) {
+                for (const auto& [pod, time] : ready_since_[slice]) since[pod] = std::max(since[pod], time);
+            }
+        }
+        for (const auto& each : news.endpoints) news.since.push_back(since[each.pod]);
         const auto told = told_.find(key);
-        if (told != told_.end() && told->second.pool == pool && told->second.endpoints == news.endpoints)
+        if (told != told_.end() && told->second.pool == pool && told->second.endpoints == news.endpoints &&
+            told->second.since == news.since)
             continue;
-        told_[key] = {pool, news.endpoints};
+        told_[key] = {pool, news.endpoints, news.since};
         out.pools.push_back(std::move(news));
     }
     if (all) {
--- a/src/gateway/controller.h
+++ b/src/gateway/controller.h
@@ -23,7 +23,7 @@
     Controller(PlanOptions options, Guard::Options guard) : options_(std::move(options)), guard_(guard) {}
 
     // An event; what can't be held comes back as text.
-    [[nodiscard]] std::string put(KindOf kind, const Json& object);
+    [[nodiscard]] std::string put(Time now, KindOf kind, const Json& object);
     void erase(KindOf kind, const std::string& key);
     // A whole list.
     [[nodiscard]] std::vector<std::string> list(Time now, KindOf kind, const std::vector<Json>& objects);
@@ -38,6 +38,7 @@
         std::string key;
         PoolPlan pool;
         std::vector<EndpointOf> endpoints;  // all of them
+        std::vector<Time> since;  // of each: when it became ready before our eyes; zero: it was when we came
     };
     struct Outcome {
         std::optional<std::map<std::uint16_t, PortPlan>> ports;  // where they may differ
@@ -56,11 +57,13 @@
 
 private:
     void note(const Touched& touched);
+    void follow_pods(Time now, const std::string& slice, bool first);
     void mind_guard();
 
     struct Told {
         PoolPlan pool;
         std::vector<EndpointOf> endpoints;
+        std::vector<Time> since;
     };
 
     PlanOptions options_;
@@ -68,6 +71,8 @@
     Resources resources_;
     std::map<std::string, PoolPlan> pools_;
     std::map<std::string, Told> told_;
+    std::map<std::string, std::map<std::string, Time>> ready_since_;  // of pods, by the slices that have them
+    bool slices_listed_ = false;
     bool routes_dirty_ = true, statuses_dirty_ = true, status_news_ = false;
     std::set<std::string> services_dirty_;
 };
--- a/src/gateway/plan.cpp
+++ b/src/gateway/plan.cpp
@@ -639,6 +639,10 @@
     return Planning(resources, options).make();
 }
 
+std::string pod_of(const EndpointSlice::Endpoint& endpoint) {
+    return (endpoint.uid.empty() ? endpoint.pod : endpoint.uid) + "@" + endpoint.address;
+}
+
 std::vector<EndpointOf> endpoints_of(const Resources& resources, const PoolPlan& pool) {
     std::map<std::string, EndpointOf> found;
     const auto slices = resources.slices_of.find(pool.service);
@@ -651,7 +655,8 @@
                 if (!each.ready && !each.terminating) continue;
                 EndpointOf made;
                 made.address = each.address + ":" + std::to_string(port.port);
-                made.id = (each.uid.empty() ? each.pod : each.uid) + "@" + made.address;
+                made.pod = pod_of(each);
+                made.id = made.pod + ":" + std::to_string(port.port);
                 made.name = each.pod.empty() ? made.address : each.pod;
                 made.zone = each.zone;
                 made.draining = each.terminating;
--- a/src/gateway/plan.h
+++ b/src/gateway/plan.h
@@ -75,10 +75,13 @@
     std::string address;  // "10.0.0.1:8080"
     std::string zone;     // empty: not told
     bool draining = false;
+    std::string pod;  // its pod and address without the port
     bool operator==(const EndpointOf&) const = default;
 };
 // In the order of their ids.
 [[nodiscard]] std::vector<EndpointOf> endpoints_of(const Resources& resources, const PoolPlan& pool);
+// Of one endpoint of a slice: the pod's uid, or its name, and its address.
+[[nodiscard]] std::string pod_of(const EndpointSlice::Endpoint& endpoint);
 
 // The names that both stand for: the narrower of the two, or nothing. Empty: any.
 [[nodiscard]] std::optional<std::string> intersection(const std::string& listener, const std::string& route);
--- a/src/ingress/change.h
+++ b/src/ingress/change.h
@@ -23,6 +23,7 @@
     std::string name, address;
     std::string zone;
     bool draining = false;
+    Time since{};  // when it started, as far as is known; zero: long ago, or not known
     bool operator==(const Server&) const = default;
 };
 
--- a/src/ingress/cluster.cpp
+++ b/src/ingress/cluster.cpp
@@ -186,7 +186,7 @@
     void take(KindOf kind, kube::Change change) {
         ++figures_.changes;
         switch (change.kind) {
-            case kube::Change::Kind::put: complain(controller_.put(kind, change.object)); break;
+            case kube::Change::Kind::put: complain(controller_.put(clock_.now(), kind, change.object)); break;
             case kube::Change::Kind::erase: controller_.erase(kind, gateway::key_of(change.object)); break;
             case kube::Change::Kind::list:
                 ++figures_.lists;
@@ -250,10 +250,11 @@
             PoolChange each;
             each.key = std::move(news.key);
             each.classes = {news.pool.classes.begin(), news.pool.classes.end()};
-            for (auto& endpoint : news.endpoints) {
+            for (std::size_t i = 0; i < news.endpoints.size(); ++i) {
+                auto& endpoint = news.endpoints[i];
                 each.servers.push_back({id_of(endpoint.id), std::move(endpoint.name),
                                         std::move(endpoint.address), std::move(endpoint.zone),
-                                        endpoint.draining});
+                                        endpoint.draining, news.since[i]});
             }
             change.pools.push_back(std::move(each));
         }
--- a/src/ingress/runtime.cpp
+++ b/src/ingress/runtime.cpp
@@ -118,13 +118,19 @@
     }
 
     void begin_drain() {
+        draining_ = true;
         for (const auto& [port, listener] : listeners_) {
-            if (!listener->front) continue;
-            listener->front->begin_drain();
-            (void)listener->front->wind_down();
+            if (listener->front) listener->front->begin_drain();
         }
+    }
+
+    bool wind_down() {
         draining_ = true;
-        end_later();
+        bool others = !ending_.empty();
+        for (const auto& [port, listener] : listeners_) {
+            if (listener->front) others = listener->front->wind_down() || others;
+        }
+        return others;
     }
 
     void stop() {
@@ -358,10 +364,17 @@
             member.entry.id = each.id;
             member.entry.zone = each.zone.empty() ? 0 : zone_of(pool, each.zone);
             member.entry.state = each.draining ? UpstreamState::draining : UpstreamState::ready;
-            // Whoever comes later has started now, and is cold.
-            if (pool.listed && before == pool.servers.end()) member.entry.started_at = clock_.now();
-            if (before != pool.servers.end()) member.entry.started_at = started_[{pool.key, each.id}];
-            if (member.entry.started_at > Time{}) started_[{pool.key, each.id}] = member.entry.started_at;
+            // Whoever comes later, and of whom nothing else is known, has started now, and is cold.
+            const std::pair place(pool.key, each.id);
+            member.entry.started_at = each.since;
+            if (before != pool.servers.end()) {
+                const auto started = started_.find(place);
+                if (started != started_.end())
+                    member.entry.started_at = std::max(started->second, each.since);
+            } else if (pool.listed && each.since == Time{}) {
+                member.entry.started_at = clock_.now();
+            }
+            if (member.entry.started_at > Time{}) started_[place] = member.entry.started_at;
             list.members.push_back(std::move(member));
         }
         for (const auto& [id, server] : pool.servers) {
@@ -493,12 +506,7 @@
             listener->front->stop();
             return true;
         });
-        if (draining_) {
-            for (const auto& [port, listener] : listeners_) {
-                if (listener->front) (void)listener->front->wind_down();
-            }
-        }
-        if (!ending_.empty() || !retired_.empty() || draining_) end_later();
+        if (!ending_.empty() || !retired_.empty()) end_later();
     }
 
     void end_later() {
@@ -539,6 +547,7 @@
 void Runtime::apply(Change change) { impl_->apply(std::move(change)); }
 void Runtime::set_options(const RuntimeOptions& options) { impl_->set_options(options); }
 void Runtime::begin_drain() { impl_->begin_drain(); }
+bool Runtime::wind_down() { return impl_->wind_down(); }
 void Runtime::stop() { impl_->stop(); }
 std::optional<loop::tcp::endpoint> Runtime::address(std::uint16_t port) const { return impl_->address(port); }
 Micros Runtime::longest_deadline() const { return impl_->longest_deadline(); }
--- a/src/ingress/runtime.h
+++ b/src/ingress/runtime.h
@@ -59,7 +59,10 @@
 
     // Limits, and what pools are made with, for what comes from now on.
     void set_options(const RuntimeOptions& options);
+    // Whoever connects is still taken.
     void begin_drain();
+    // Nobody new is. Returns whether there are others, who are still to be answered.
+    [[nodiscard]] bool wind_down();
     // Closes all; what is open is left. The pools are removed.
     void stop();
 
--- a/src/sides/gateway.cpp
+++ b/src/sides/gateway.cpp
@@ -413,6 +413,7 @@
     }
 
     void begin_drain() override { runtime_->begin_drain(); }
+    bool wind_down() override { return runtime_->wind_down(); }
     void stop() override {
         cluster_.reset();
         const auto figures = runtime_->figures();
--- a/tests/gateway/random_test.cpp
+++ b/tests/gateway/random_test.cpp
@@ -197,7 +197,8 @@
 
         const auto tell = [&](Follow& follow) {
             while (auto news = follow.reflector.take()) {
-                if (news->kind == kube::Change::Kind::put) (void)controller.put(follow.kind, news->object);
+                if (news->kind == kube::Change::Kind::put)
+                    (void)controller.put(now, follow.kind, news->object);
                 if (news->kind == kube::Change::Kind::erase)
                     controller.erase(follow.kind, key_of(news->object));
                 if (news->kind == kube::Change::Kind::list) {
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -290,6 +290,7 @@
     // is a violation.
     void apply(ingress::Change change) {
         for (const auto& pool : change.pools) {
+            servers[pool.key] = pool.servers;
             auto& its = listed[pool.key];
             its.clear();
             for (const auto& server : pool.servers) {
@@ -377,9 +378,10 @@
     std::vector<std::unique_ptr<Backend>> backends;
     std::unique_ptr<ingress::Runtime> runtime;
     std::unique_ptr<ingress::Cluster> cluster;
-    std::map<std::string, std::set<std::string>> listed;  // ready addresses of each pool
-    std::set<std::string> closed;                         // addresses that no pool lists as ready
-    std::vector<std::string> violations;                  // backends that got something all the same
+    std::map<std::string, std::set<std::string>> listed;          // ready addresses of each pool
+    std::map<std::string, std::vector<ingress::Server>> servers;  // of each pool, as told last
+    std::set<std::string> closed;                                 // addresses that no pool lists as ready
+    std::vector<std::string> violations;                          // backends that got something all the same
     std::size_t applied = 0;
 };
 
--- a/tests/gateway/serving_test.cpp
+++ b/tests/gateway/serving_test.cpp
@@ -313,11 +313,40 @@
     ASSERT_TRUE(rig.until([&] { return a.held() == 1; }));
     const auto where = *rig.runtime->address(80);
     rig.runtime->begin_drain();
+    EXPECT_FALSE(Client(rig.io, where).refused) << "whoever is still led here is taken";
+    EXPECT_TRUE(rig.runtime->wind_down());
     ASSERT_TRUE(rig.until([&] { return Client(rig.io, where).refused; }));
     a.release();
     ASSERT_TRUE(rig.until([&] { return !client->answers.empty(); }));
     EXPECT_EQ(client->status(), "200");
     ASSERT_TRUE(rig.until([&] { return client->ended; }));
+    ASSERT_TRUE(rig.until([&] { return !rig.runtime->wind_down(); }));
+}
+
+TEST_F(Serving, APodThatWasReadySinceAMomentIsColdInAPoolThatIsNew) {
+    Backend &a = rig.add_backend("a"), &b = rig.add_backend("b");
+    rig.runtime_options.settings.ramp_time = 1h;
+    rig.runtime_options.settings.cold_share = 0.1;
+    pods("a", {&a});
+    serve(to_service("a"));
+    const auto started = [&](const std::string& pool, const std::string& name) {
+        for (const auto& server : rig.servers[pool]) {
+            if (server.name == name) return server.since;
+        }
+        return Time{-1};
+    };
+    EXPECT_EQ(started("booking/a:80", "pod-a"), Time{})
+        << "of one that was there at the start nothing is known";
+    const Time before = rig.clock.now();
+    pods("b", {&b});
+    rig.api.play(
+        http_route("r", to_service("a", "{path: {value: /a}}") + to_service("b", "{path: {value: /b}}")));
+    ASSERT_TRUE(rig.until([&] { return started("booking/b:80", "pod-b") > before; }));
+    // It was not ready for a while: whoever comes back has started anew, as far as is known.
+    rig.api.play(slice("a", {{a.port(), "pod-a", "ready: false"}}));
+    ASSERT_TRUE(rig.until([&] { return rig.listed["booking/a:80"].empty(); }));
+    pods("a", {&a});
+    ASSERT_TRUE(rig.until([&] { return started("booking/a:80", "pod-a") > before; }));
 }
 
 }  // namespace
