--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -140,6 +140,7 @@
         timer.async_wait([](auto) {});
         rig.io.restart();
         rig.io.run_one();
+        rig.io.poll();
     }
 }
 
@@ -228,6 +229,7 @@
 }  // namespace
 
 int main() {
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     events_to_requests();
     for (const int changes : {0, 50, 0, 50}) {
         Percentiles latency;
--- a/src/http/back.cpp
+++ b/src/http/back.cpp
@@ -279,6 +279,8 @@
                 owner_.options_.meaning ? owner_.options_.meaning(result.answer) : outcome_of(result.answer);
             end.whole = machine_.whole();
             end.latency = owner_.clock_.now() - since_;
+            if (end.outcome == Outcome::ok)
+                end.latency = std::max(end.latency, owner_.options_.latency_floor);
             end.report = report_of(result.answer, owner_.options_.report_fields);
             if (end.outcome == Outcome::ok) {
                 end.answer = std::make_unique<ResponsePayload>(std::move(result.answer));
--- a/src/http/back.h
+++ b/src/http/back.h
@@ -33,6 +33,7 @@
     // What an upstream's whole answer means; null: what it means on the platform (platform.h).
     Outcome (*meaning)(const Response& answer) = nullptr;
     bool keep_errors = false;  // RequestPayload::error_answer
+    Micros latency_floor{};    // answers that come sooner are told as this late: core::latency_floor()
     std::size_t body = body_most;
 };
 
--- a/src/ingress/runtime.cpp
+++ b/src/ingress/runtime.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "core/latency_floor.h"
 #include "http/calls.h"
 #include "ingress/router.h"
 #include "loop/alive.h"
@@ -113,7 +114,7 @@
         }
         for (auto& [key, pool] : pools_) {
             core_.change_pool(pool->id, settings_of_pool(*pool));
-            pool->back->set_options(back_options());
+            pool->back->set_options(back_options(pool->classes));
         }
     }
 
@@ -237,8 +238,11 @@
         out.body = options_.body;
         return out;
     }
-    http::BackOptions back_options() const {
+    http::BackOptions back_options(const std::vector<routes::CallClass>& classes) const {
         http::BackOptions out;
+        Micros aim = std::chrono::seconds(1);
+        for (const auto& each : classes) aim = std::min(aim, each.aim);
+        out.latency_floor = core::latency_floor(aim, static_cast<std::size_t>(options_.settings.fair_share));
         out.connect = options_.settings.connect_timeout;
         out.idle = options_.settings.idle_close;
         out.meaning = meaning;
@@ -332,7 +336,8 @@
             pool = std::make_shared<Pool>();
             pool->key = change.key;
             pool->zones.push_back(options_.zone);
-            pool->back = std::make_unique<http::Back>(executor_, core_, clock_, budget_, back_options());
+            pool->back =
+                std::make_unique<http::Back>(executor_, core_, clock_, budget_, back_options(change.classes));
         }
         const std::size_t zones = pool->zones.size();
         const bool other_classes = pool->classes != change.classes;
@@ -343,6 +348,7 @@
                 core_.add_pool({pool->key, settings_of_pool(*pool), options_.seed}, *pool->back, nullptr);
         } else if (other_classes || zones != pool->zones.size()) {
             core_.change_pool(pool->id, settings_of_pool(*pool));
+            pool->back->set_options(back_options(pool->classes));
         }
         if (fresh || !list.members.empty()) core_.on_list(pool->id, std::move(list));
     }
--- a/src/pg/back.h
+++ b/src/pg/back.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "core/core.h"
+#include "core/latency_floor.h"
 #include "loop/clock.h"
 #include "loop/executor.h"
 #include "pg/pool.h"
@@ -40,21 +41,12 @@
     Micros cancel_limit = std::chrono::seconds(5);  // until what was told to stop has stopped
     Micros drain_limit = std::chrono::minutes(1);   // what is open at a server that drains
     // Answers that begin sooner than this are told to the module as this late: units differ a thousandfold in
-    // their work, and what is that short says nothing of a crowd. See latency_floor().
+    // their work, and what is that short says nothing of a crowd. See core::latency_floor().
     Micros latency_floor{};
     std::size_t prepared_most = 200;
     std::size_t message_most = 16 << 20;
 };
 
-// So much that a server's whole pool at once still keeps within half of the aim by the module's reckoning (a
-// lone latency for each in flight): with less, the module would take few of them for a crowd. And at most
-// what leaves the module's timer at its shortest, a quarter of the aim (three times the first latency that it
-// hears).
-inline Micros latency_floor(Micros aim, std::size_t connections) {
-    const auto count = static_cast<std::int64_t>(connections);
-    return std::min(Micros(2 * aim.count() / (5 * count)), aim / 12);
-}
-
 // Passwords by user, shared by all databases.
 using Secrets = std::map<std::string, ScramSecret>;
 
--- a/src/sides/postgres.cpp
+++ b/src/sides/postgres.cpp
@@ -182,7 +182,7 @@
             case keys::Role::replica: back.role = pg::Role::replica; break;
         }
         back.pool.connections = count_of(row, keys::pool_size);
-        back.latency_floor = pg::latency_floor(row.get(keys::aim), back.pool.connections);
+        back.latency_floor = core::latency_floor(row.get(keys::aim), back.pool.connections);
         back.pool.line = count_of(row, keys::line);
         back.pool.wait = row.get(keys::line_timeout);
         back.pool.idle = row.get(keys::idle_timeout);
--- a/tests/pg/rig.h
+++ b/tests/pg/rig.h
@@ -77,7 +77,7 @@
         db.back.cancel_limit = 2s;
         db.back.drain_limit = drain_limit;
         db.back.pool = pool;
-        db.back.latency_floor = latency_floor(std::min<Micros>(deadline, 2s), pool.connections);
+        db.back.latency_floor = core::latency_floor(std::min<Micros>(deadline, 2s), pool.connections);
         db.settings.max_attempts = 3;
         db.settings.connect_timeout = 2s;
         db.settings.retry_after = true;
