Gateway: JSON nested without end, lists without end, messages cut within a character

Need: looked at as an API server that lies would: what is nested a million deep walks through the stack; a list has no end; a message cut within a character is written again and again, as the server keeps another text.

The tests' rig without the whole of Asio in files that need none.

--- a/src/gateway/plan.cpp
+++ b/src/gateway/plan.cpp
@@ -17,7 +17,12 @@
 
 Json condition(const Meta& meta, std::string_view type, std::string_view status, std::string_view reason,
                std::string message) {
-    if (message.size() > message_most) message = message.substr(0, message_most - 3) + "...";
+    if (message.size() > message_most) {
+        // Not within a character: what the server takes for another text would be written again and again.
+        std::size_t end = message_most - 3;
+        while (end > 0 && (static_cast<unsigned char>(message[end]) & 0xc0) == 0x80) --end;
+        message = message.substr(0, end) + "...";
+    }
     return {{"type", type},
             {"status", status},
             {"reason", reason},
--- a/src/ingress/cluster.cpp
+++ b/src/ingress/cluster.cpp
@@ -14,6 +14,7 @@
 #include "ingress/follow.h"
 #include "ingress/reaper.h"
 #include "kube/client.h"
+#include "kube/json.h"
 
 namespace flaxdoor::ingress {
 
@@ -346,7 +347,7 @@
         if (status >= 200 && status < 300) {
             how = Written::done;
             // The newest there is, ahead of the watch: so that its event finds nothing to do.
-            const Json object = Json::parse(body, nullptr, false);
+            const Json object = kube::read_json(body);
             if (object.is_object()) controller_.written(kind, key, object);
             settle();
             ++figures_.written;
--- a/src/kube/lease.cpp
+++ b/src/kube/lease.cpp
@@ -3,6 +3,8 @@
 #include <cstdio>
 #include <ctime>
 
+#include "kube/json.h"
+
 namespace flaxdoor::kube {
 
 using Json = nlohmann::json;
@@ -77,7 +79,7 @@
         return;
     }
     if (status < 200 || status > 299) return;  // also a conflict: somebody else was first
-    const Json object = Json::parse(body, nullptr, false);
+    const Json object = read_json(body);
     if (!object.is_object()) return;
     const Json spec = object.value("spec", Json::object());
     holder_ = text_of(spec, "holderIdentity");
--- a/src/kube/reflector.cpp
+++ b/src/kube/reflector.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "kube/json.h"
+
 namespace flaxdoor::kube {
 
 using Json = nlohmann::json;
@@ -137,7 +139,7 @@
 }
 
 void Reflector::on_line(std::string_view line) {
-    Json event = Json::parse(line, nullptr, false);
+    Json event = read_json(line);
     if (event.is_discarded() || !event.is_object() || !event.contains("object")) {
         fault_ = "an event that can't be read";
         relist_ = true;  // what it said is not known
@@ -182,6 +184,10 @@
             relist_ = true;
             return;
         }
+        if (known == known_.end() && known_.size() >= options_.objects) {
+            fault_ = "there are more than " + std::to_string(options_.objects) + " of them";
+            return;
+        }
         note(object);
         changes_.push_back({Change::Kind::put, std::move(object), {}});
     } else {
@@ -193,7 +199,7 @@
 }
 
 void Reflector::on_page() {
-    Json page = Json::parse(body_, nullptr, false);
+    Json page = read_json(body_);
     body_.clear();
     const auto items = page.is_object() ? page.find("items") : page.end();
     const bool readable = page.is_object() && items != page.end() && (items->is_array() || items->is_null());
@@ -203,6 +209,10 @@
         return;
     }
     if (items->is_array()) {
+        if (pages_.size() + items->size() > options_.objects) {
+            fault_ = "there are more than " + std::to_string(options_.objects) + " of them";
+            return;
+        }
         for (Json& each : *items) pages_.push_back(std::move(each));
     }
     progress_ = true;
--- a/src/kube/reflector.h
+++ b/src/kube/reflector.h
@@ -28,6 +28,7 @@
     bool optional = false;  // 403 and 404 mean that there are none, and are asked for again seldom
     std::size_t page = 500;
     std::size_t page_bytes = 64 << 20, line_bytes = 4 << 20;
+    std::size_t objects = 200'000;
     Micros watch_for = std::chrono::seconds(300);  // then the server ends a watch, and it is begun anew
     Micros silence = std::chrono::seconds(60);     // beyond watch_for, or of a list: the call has failed
     Micros retry_least = std::chrono::milliseconds(500), retry_most = std::chrono::seconds(30);
--- a/src/tls/tls.cpp
+++ b/src/tls/tls.cpp
@@ -163,6 +163,7 @@
         OwnedContext made = make(TLS_server_method());
         const std::string fault = use_texts(made.get(), each.certificate, each.key);
         if (!fault.empty()) throw Error(each.host, fault);
+        SSL_CTX_set_alpn_select_cb(made.get(), choose_http, nullptr);
         impl->named.emplace_back(each.host, std::move(made));
     }
     std::stable_sort(impl->named.begin(), impl->named.end(), [](const auto& a, const auto& b) {
@@ -173,7 +174,6 @@
     });
     SSL_CTX_set_tlsext_servername_callback(impl->context.get(), Impl::choose);
     SSL_CTX_set_tlsext_servername_arg(impl->context.get(), impl.get());
-    SSL_CTX_set_alpn_select_cb(impl->context.get(), choose_http, nullptr);
     return std::shared_ptr<const Context>(new Context(std::move(impl)));
 }
 
--- a/tests/gateway/plan_test.cpp
+++ b/tests/gateway/plan_test.cpp
@@ -5,7 +5,9 @@
 
 #include <map>
 
-#include "rig.h"
+#include "routes/table.h"
+#include "standins/kube_api.h"
+#include "words.h"
 
 namespace flaxdoor::gateway {
 namespace {
@@ -521,6 +523,20 @@
     }
 }
 
+TEST(PlanRoute, ALongMessageIsCutBetweenTwoCharacters) {
+    std::string value;
+    for (int i = 0; i < 1000; ++i) value += "\u00e9";
+    for (const char* shift : {"", "x"}) {
+        World world(class_and_gateway() + service("a") +
+                    http_route("r", "    - matches: [{path: {type: RegularExpression, value: \"(" +
+                                        (shift + value.substr(0, 1000)) + "\"}}]\n"));
+        EXPECT_EQ(world.route("booking/r", "Accepted"), "False UnsupportedValue");
+        const std::string message = world.message("booking/r", "Accepted");
+        EXPECT_LE(message.size(), 1024U);
+        EXPECT_NO_THROW((void)Json(message).dump()) << "whole characters only";
+    }
+}
+
 TEST(PlanRoute, WhatIsHeldBackIsSeen) {
     World world(plain());
     world.options.held = "Service: a whole list lacked 3 of 3";
--- a/tests/gateway/random_test.cpp
+++ b/tests/gateway/random_test.cpp
@@ -9,7 +9,8 @@
 #include "gateway/controller.h"
 #include "gateway/status.h"
 #include "kube/reflector.h"
-#include "rig.h"
+#include "standins/kube_api.h"
+#include "words.h"
 
 namespace flaxdoor::gateway {
 namespace {
--- a/tests/gateway/reflector_test.cpp
+++ b/tests/gateway/reflector_test.cpp
@@ -175,6 +175,7 @@
                                event("NEW", object("a", "11")),
                                event("ADDED", {{"metadata", {{"name", "a"}}}}),
                                event("ERROR", {{"code", 500}}),
+                               "{\"type\":\"ADDED\",\"object\":" + std::string(100'000, '[') + "\n",
                                std::string(200, 'x') + "\n"};
     for (const std::string& line : bad) {
         ReflectorOptions options;
@@ -201,6 +202,29 @@
     }
 }
 
+TEST(Reflector, MoreObjectsThanThereMayBeAreNoList) {
+    ReflectorOptions options;
+    options.objects = 2;
+    Followed f(options);
+    (void)f.ask();
+    f.answer(200, page({object("a", "1"), object("b", "2"), object("c", "3")}, "10"));
+    EXPECT_EQ(f.changes(), Words{});
+    EXPECT_NE(f.reflector.trouble().find("more than 2"), std::string::npos);
+    Followed g(options);
+    g.begin({object("a", "1"), object("b", "2")});
+    g.reflector.on_body(event("ADDED", object("c", "11")));
+    EXPECT_TRUE(g.reflector.spoilt());
+}
+
+TEST(Reflector, NestedWithoutEndIsNoEvent) {
+    Followed f;
+    f.begin();
+    f.reflector.on_body("{\"type\":\"ADDED\",\"object\":{\"metadata\":{\"resourceVersion\":\"11\",\"x\":" +
+                        std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}}}\n");
+    EXPECT_EQ(f.changes(), Words{});
+    EXPECT_TRUE(f.reflector.spoilt());
+}
+
 TEST(Reflector, BacksOffWithJitterAndHeedsRetryAfter) {
     Followed f;
     std::vector<std::int64_t> waits;
--- a/tests/tls/tls_test.cpp
+++ b/tests/tls/tls_test.cpp
@@ -68,6 +68,38 @@
     EXPECT_FALSE(fails(made, other, "")) << "not asked to verify";
 }
 
+std::string text_of(const std::string& path) {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+TEST(Tls, ACertificateByTheNameThatIsAskedFor) {
+    const Certificate exact("a.example"), wild("*.example"), any("b.test");
+    const auto pem = [](const std::string& host, const Certificate& made) {
+        return Context::Named{host, text_of(made.certificate()), text_of(made.key())};
+    };
+    const auto several = Context::for_clients({pem("*.example", wild), pem("a.example", exact)});
+    const auto with_any = Context::for_clients({pem("", any), pem("a.example", exact)});
+    const auto met = [](const std::shared_ptr<const Context>& shown, const Certificate& trusted,
+                        const std::string& name) {
+        Channel server(shown);
+        Channel client(Context::for_servers(trusted.certificate()), name);
+        talk(client, server, 1000);
+        if (client.established()) {
+            EXPECT_EQ(server.server_name(), name);
+        }
+        return client.established();
+    };
+    EXPECT_TRUE(met(several, exact, "a.example"));
+    EXPECT_TRUE(met(several, wild, "c.example"));
+    EXPECT_FALSE(met(several, any, "b.test")) << "nobody has it";
+    EXPECT_TRUE(met(with_any, any, "b.test"));
+    EXPECT_EQ(Context::fault_of(text_of(exact.certificate()), text_of(exact.key())), "");
+    EXPECT_NE(Context::fault_of(text_of(exact.certificate()), text_of(wild.key())), "");
+    EXPECT_NE(Context::fault_of("rubbish", text_of(wild.key())), "");
+    EXPECT_THROW((void)Context::for_clients({{"x", "rubbish", "rubbish"}}), Error);
+}
+
 TEST(Tls, FilesThatCantBeUsedAreNamed) {
     const Certificate made("a"), other("b");
     const auto file_of = [](auto make) -> std::string {
