Kubernetes client: a call that is cancelled from its own handler keeps that handler

Need: the thread sanitizer saw a watch that can't be read end: its handler cancelled the call, which freed the handler while it ran.

Change: handlers stay as long as their call does.

--- a/src/kube/client.cpp
+++ b/src/kube/client.cpp
@@ -104,7 +104,7 @@
                 error_code ignored;
                 connection_->socket.close(ignored);
             }
-            handlers_ = {};
+            // The handlers stay as long as this does: it may be one of them that is on the stack.
         }
 
     private:
--- a/tests/gateway/check_test.sh
+++ b/tests/gateway/check_test.sh
@@ -2,7 +2,8 @@
 # What an operator can get wrong in [gateway] and its rows: `flaxdoor check` says the line and the key; and the
 # commands `flaxdoor routes`. usage: check_test.sh FLAXDOOR
 set -eu
-flaxdoor=$1
+. "$(dirname "$0")/../expect.sh"
+check=$1
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 resources=$(cd "$(dirname "$0")/resources" && pwd)
@@ -20,15 +21,9 @@
 pools = ["p"]
 EOT
 }
-# expect TEXT: what is on standard input is refused with it.
-expect() {
-    cat >file.toml
-    if "$flaxdoor" check file.toml >out 2>&1; then echo "accepted, wanted: $1"; cat file.toml; exit 1; fi
-    grep -qF -- "$1" out || { echo "wanted: $1"; cat out; exit 1; }
-}
 
 good >good.toml
-"$flaxdoor" check good.toml >/dev/null
+"$check" check good.toml >/dev/null
 good | sed 's/pools = .*/pools = ["q"]/' | expect 'file.toml:8:1: no such pool: q (route.pools)'
 good | sed 's/pools = .*/pools = ["p x"]/' | expect 'file.toml:8:1: no weight: p x (route.pools)'
 good | sed 's/servers = .*/servers = ["host:80"]/' | expect 'file.toml:5:1: not an IPv4 address with a port: host:80 (route_pool.servers)'
@@ -49,18 +44,18 @@
 good | sed '1,2d' | expect '[[route_pool]] without [gateway]'
 
 # What resources come to, without a cluster.
-"$flaxdoor" routes --resources "$resources" >out
+"$check" routes --resources "$resources" >out
 grep -qF 'GET' out && exit 1
 grep -qF '80 http book.donors.example /api[/...]  booking/slots rule 0  -> booking/booking:80 3/4, answered 500 1/4 [by method]' out
 grep -qF 'booking/booking:80  10.0.0.2:8080 10.0.0.2:8080 (draining), 10.0.0.1:8080 booking-x in a' out
 grep -qF 'HTTPRoute booking/slots at front: ResolvedRefs False BackendNotFound: spec.rules[0].backendRefs[1]: there is no Service booking/missing' out
-"$flaxdoor" routes --resources "$resources" --request 'GET http://book.donors.example/api/x' | grep -qF 'route booking/slots rule 0 match 0'
-"$flaxdoor" routes --resources "$resources" --request 'GET http://other.example/' | grep -qF 'answered 404: no listener has host other.example'
-"$flaxdoor" routes diff "$resources" "$resources"
+"$check" routes --resources "$resources" --request 'GET http://book.donors.example/api/x' | grep -qF 'route booking/slots rule 0 match 0'
+"$check" routes --resources "$resources" --request 'GET http://other.example/' | grep -qF 'answered 404: no listener has host other.example'
+"$check" routes diff "$resources" "$resources"
 sed 's/weight: 3/weight: 5/' "$resources/booking.yaml" >b.yaml
-if "$flaxdoor" routes diff "$resources" b.yaml >out; then echo "a difference was not told"; exit 1; fi
+if "$check" routes diff "$resources" b.yaml >out; then echo "a difference was not told"; exit 1; fi
 grep -q '^+ 80 http book.donors.example .*5/6' out
 printf 'a: [\n' >bad.yaml
-if "$flaxdoor" routes --resources bad.yaml >out 2>&1; then echo "accepted"; exit 1; fi
+if "$check" routes --resources bad.yaml >out 2>&1; then echo "accepted"; exit 1; fi
 grep -qF 'bad.yaml: line' out
 echo "what is wrong is named with its line"
--- a/tests/gateway/client_test.cpp
+++ b/tests/gateway/client_test.cpp
@@ -99,6 +99,25 @@
     EXPECT_EQ(again->ends, 0);
 }
 
+TEST(KubeClient, ACallIsCancelledFromItsOwnHandler) {
+    World world;
+    Client client(world.io.get_executor(), world.config);
+    std::uint64_t number = 0;
+    int pieces = 0, ends = 0;
+    const std::string kept(100, 'k');  // what the handler holds must outlive it
+    number = client.start(get_call(classes), {{},
+                                              [&, kept](std::string_view) {
+                                                  ++pieces;
+                                                  client.cancel(number);
+                                                  EXPECT_EQ(kept, std::string(100, 'k'));
+                                              },
+                                              [&](bool, const std::string&) { ++ends; }});
+    ASSERT_TRUE(world.until([&] { return pieces > 0; }));
+    EXPECT_TRUE(world.got(client, get_call(classes))->whole);
+    EXPECT_EQ(pieces, 1);
+    EXPECT_EQ(ends, 0);
+}
+
 TEST(KubeClient, SilenceEndsACall) {
     World world;
     world.api.stall(true);
--- a/tests/pg/check_test.sh
+++ b/tests/pg/check_test.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # What an operator can get wrong: `flaxdoor check` says the line and the key. usage: check_test.sh FLAXDOOR
 set -eu
+. "$(dirname "$0")/../expect.sh"
 check=$1
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
@@ -21,12 +22,6 @@
 auth = "trust"
 EOT
 }
-# expect TEXT: what is on standard input is refused with it.
-expect() {
-    cat >file.toml
-    if "$check" check file.toml >out 2>&1; then echo "accepted, wanted: $1"; cat file.toml; exit 1; fi
-    grep -qF -- "$1" out || { echo "wanted: $1"; cat out; exit 1; }
-}
 
 good >good.toml
 "$check" check good.toml >/dev/null
