Gateway's tests: ten minutes away in virtual time, a log line that is waited for, the fuzzer's own end

Change: each mended; a reflector's server is away for ten minutes of virtual time and comes back with another history.

--- a/tests/fuzz/gateway.cpp
+++ b/tests/fuzz/gateway.cpp
@@ -57,7 +57,7 @@
     std::string body;
     kube::Answer answer([&](std::string_view piece) { body.append(piece); });
     bool good = true;
-    for (std::size_t at = 0; at < bytes.size() && good && !answer.done(); at += step)
+    for (std::size_t at = 0; at < bytes.size() && good; at += step)
         good = answer.receive(bytes.substr(at, step));
     if (good) answer.receive_end();
     return answer.done() && answer.error().empty() ? std::to_string(answer.status()) + body : "";
--- a/tests/gateway/faults_test.cpp
+++ b/tests/gateway/faults_test.cpp
@@ -81,7 +81,7 @@
     ASSERT_TRUE(rig.until([&] { return rig.cluster->figures().held.empty(); }));
     ASSERT_TRUE(rig.until([&] { return rig.runtime->figures().pools == 0; }));
     EXPECT_TRUE(rig.log.has("held back: "));
-    EXPECT_TRUE(rig.log.has("nothing is held back any more"));
+    ASSERT_TRUE(rig.until([&] { return rig.log.has("nothing is held back any more"); }));
 }
 
 TEST_F(Faults, WhatIsHeldShowsInTheStatusAndEndsWithAPlausibleList) {
--- a/tests/gateway/reflector_test.cpp
+++ b/tests/gateway/reflector_test.cpp
@@ -246,6 +246,28 @@
     EXPECT_EQ(f.changes(), Words{"list"});
 }
 
+TEST(Reflector, TenMinutesAwayAndBackWithAnotherHistory) {
+    Followed f;
+    f.begin({object("a", "1"), object("b", "2")}, "500");
+    f.reflector.call_ended(f.now, false, "reset", 0.5);
+    const Time back = f.now + 10min;
+    int calls = 0;
+    while (f.now < back) {
+        f.now = std::max(*f.reflector.due(), f.now + 1ms);
+        if (f.ask().empty()) continue;
+        ++calls;
+        f.reflector.call_ended(f.now, false, "connect", 0.5);
+        EXPECT_EQ(f.changes(), Words{}) << "what is known stays";
+    }
+    EXPECT_LE(calls, 35) << "some every 22 s once it is clear that nobody is there";
+    f.now = *f.reflector.due();
+    EXPECT_EQ(f.ask(), "/things?limit=500") << "version 500 may mean something else by now";
+    f.answer(200, page({object("c", "3", "u3")}, "7"));
+    EXPECT_EQ(f.changes(), Words{"list c"});
+    f.now += 1s;
+    EXPECT_NE(f.ask().find("resourceVersion=7"), std::string::npos);
+}
+
 TEST(Reflector, AKindThatIsOptionalAndMissingIsAsIfThereWereNone) {
     ReflectorOptions options;
     options.optional = true;
--- a/tests/tls/tls_test.cpp
+++ b/tests/tls/tls_test.cpp
@@ -74,11 +74,11 @@
 }
 
 TEST(Tls, ACertificateByTheNameThatIsAskedFor) {
-    const Certificate exact("a.example"), wild("*.example"), any("b.test");
+    const Certificate exact("a.example"), wild("*.w.example"), any("b.test");
     const auto pem = [](const std::string& host, const Certificate& made) {
         return Context::Named{host, text_of(made.certificate()), text_of(made.key())};
     };
-    const auto several = Context::for_clients({pem("*.example", wild), pem("a.example", exact)});
+    const auto several = Context::for_clients({pem("*.w.example", wild), pem("a.example", exact)});
     const auto with_any = Context::for_clients({pem("", any), pem("a.example", exact)});
     const auto met = [](const std::shared_ptr<const Context>& shown, const Certificate& trusted,
                         const std::string& name) {
@@ -91,7 +91,7 @@
         return client.established();
     };
     EXPECT_TRUE(met(several, exact, "a.example"));
-    EXPECT_TRUE(met(several, wild, "c.example"));
+    EXPECT_TRUE(met(several, wild, "c.w.example"));
     EXPECT_FALSE(met(several, any, "b.test")) << "nobody has it";
     EXPECT_TRUE(met(with_any, any, "b.test"));
     EXPECT_EQ(Context::fault_of(text_of(exact.certificate()), text_of(exact.key())), "");
