Gateway's tests: no wall clock in what is held, leased or timed out, no callback after its test

Need: under the sanitizer with six at once the guard's three seconds had passed before they were looked at; sixteen runs side by side showed a client that told a test which had ended.

Change: what is held for an hour and what is taken after its time are two tests; the Lease is given up instead of waited for; time-outs leave time to send; the client is let go of first.

--- a/tests/gateway/faults_test.cpp
+++ b/tests/gateway/faults_test.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 struct Faults : testing::Test {
+    // The rig lets go of its loop last, when what the client tells is no more.
+    ~Faults() override {
+        if (client) client->on_answer = nullptr;
+    }
     void begin(int services = 4) {
         a = &rig.add_backend("a");
         rig.api.play(class_and_gateway());
@@ -65,23 +69,29 @@
     EXPECT_EQ(statuses.size(), 1U) << "only 200";
 }
 
-TEST_F(Faults, ListsNothingIsHeldForItsTimeSeenAndThenTaken) {
-    rig.options.guard.hold = 3s;
+TEST_F(Faults, ListsNothingIsHeldAndADeletionIsObeyedAllTheSame) {
+    rig.options.guard.hold = 1h;
     begin();
     rig.api.restore(50, true);
     ASSERT_TRUE(rig.until([&] {
         return rig.cluster->figures().held.find("Service: a whole list lacked 4 of 4") != std::string::npos;
     }));
     ASSERT_TRUE(flows());
-    // An event is obeyed whatever is held: there is one again, which is then deleted.
+    // There is one again, which is then deleted.
     rig.api.play(service("s1"));
     rig.api.erase("Service", "booking/s1");
     ASSERT_TRUE(rig.until([&] { return rig.ask(get("h", "/1")).substr(0, 3) == "500"; }));
     EXPECT_FALSE(rig.cluster->figures().held.empty()) << "the others are still held";
-    ASSERT_TRUE(rig.until([&] { return rig.cluster->figures().held.empty(); }));
+    EXPECT_EQ(rig.ask(get("h", "/2")), "200 a");
+}
+
+TEST_F(Faults, ListsNothingIsTakenAfterItsTime) {
+    rig.options.guard.hold = 200ms;
+    begin();
+    rig.api.restore(50, true);
     ASSERT_TRUE(rig.until([&] { return rig.runtime->figures().pools == 0; }));
-    EXPECT_TRUE(rig.log.has("held back: "));
     ASSERT_TRUE(rig.until([&] { return rig.log.has("nothing is held back any more"); }));
+    EXPECT_TRUE(rig.log.has("held back: "));
 }
 
 TEST_F(Faults, WhatIsHeldShowsInTheStatusAndEndsWithAPlausibleList) {
@@ -191,7 +201,7 @@
         "kind: Lease\nmetadata: {name: flaxdoor-gateway, namespace: default}\nspec: {holderIdentity: "
         "another, "
         "leaseDurationSeconds: 15, renewTime: \"2026-12-01T00:00:00.000000Z\"}\n");
-    rig.options.lease.duration = 1s;
+    rig.options.lease.duration = 1h;
     a = &rig.add_backend("a");
     rig.api.play(class_and_gateway() + service("s0") + slice("s0", {{a->port(), "p"}}) +
                  http_route("r", to_service("s0")));
@@ -200,7 +210,10 @@
     EXPECT_EQ(rig.ask(get("h", "/")), "200 a") << "it serves all the same";
     EXPECT_FALSE(rig.cluster->figures().holds_lease);
     EXPECT_EQ(rig.api.status_writes(), 0U);
-    // Nobody renews it: after its time it is taken.
+    // Given up by whoever had it.
+    rig.api.play(
+        "kind: Lease\nmetadata: {name: flaxdoor-gateway, namespace: default}\nspec: {holderIdentity: "
+        "\"\"}\n");
     ASSERT_TRUE(rig.until([&] { return rig.route_condition("booking/r", "Accepted") == "True Accepted"; }));
     EXPECT_EQ(rig.api.get("Lease", "default/flaxdoor-gateway")["spec"]["holderIdentity"], "this");
 }
--- a/tests/gateway/serving_test.cpp
+++ b/tests/gateway/serving_test.cpp
@@ -169,9 +169,9 @@
     pods("a", {&a});
     a.hold = true;
     serve(
-        "    - matches: [{path: {value: /request}}]\n      timeouts: {request: 50ms}\n      backendRefs: "
+        "    - matches: [{path: {value: /request}}]\n      timeouts: {request: 500ms}\n      backendRefs: "
         "[{name: a, port: 80}]\n"
-        "    - matches: [{path: {value: /backend}}]\n      timeouts: {backendRequest: 50ms}\n      "
+        "    - matches: [{path: {value: /backend}}]\n      timeouts: {backendRequest: 500ms}\n      "
         "backendRefs: [{name: a, port: 80}]\n");
     EXPECT_EQ(rig.ask(get("h", "/request", "POST", "", "x")).substr(0, 3), "504");
     EXPECT_EQ(rig.ask(get("h", "/backend", "POST", "", "x")).substr(0, 3), "504");
