--- a/bench/library_bench.cpp
+++ b/bench/library_bench.cpp
@@ -1,6 +1,6 @@
 // What a call through the library costs beside a bare Beast client, and the same client through the daemon or
 // through a web server with the middleware; and how many calls a second one or several instances make. The
-// other programs are started by library_bench.sh. Closed loops, rounds that alternate, each way's loop its
+// other programs are started by run.py library. Closed loops, rounds that alternate, each way's loop its
 // own.
 #include <pthread.h>
 #include <sched.h>
@@ -390,7 +390,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    CLI::App app{"The library measured; started by library_bench.sh."};
+    CLI::App app{"The library measured; started by run.py library."};
     std::string config, daemon, web;
     std::vector<std::string> nodes;
     std::vector<int> cores;
--- a/standins/kube_api.h
+++ b/standins/kube_api.h
@@ -1,6 +1,6 @@
-// A stand-in of a Kubernetes API server, as far as controllers and kubectl need one: lists in pages, watches
-// with bookmarks, optimistic concurrency, merge patches, status as a subresource, Leases, discovery. It fails
-// at named points when told to. It uses nothing of the product.
+// A stand-in of a Kubernetes API server, as far as controllers and command-line clients need one: lists in
+// pages, watches with bookmarks, optimistic concurrency, merge patches, status as a subresource, Leases,
+// discovery. It fails at named points when told to. It uses nothing of the product.
 //
 // Threading: everything on the thread that runs the io_context. Ownership: the io_context must outlive it.
 // Errors: a listener that can't be opened throws boost::system::system_error.
@@ -39,7 +39,7 @@
 
     [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
 
-    // Creates the object or replaces all but its status, as `kubectl apply` would; events go out. Returns it
+    // Creates the object or replaces all but its status, as an apply would; events go out. Returns it
     // as it is now. Name, uid and times that are given stay.
     Json put(Json object);
     void erase(const std::string& kind, const std::string& key);                    // key: namespace/name
