Bench driver: an earlier commit's store is measured by today's program; a session of its own

The bench folder of is added twice by its own CMakeLists, so it can't be configured there; the driver adds today's store_bench to the earlier project's targets instead (CMAKE_PROJECT_flaxdoor_INCLUDE). The driver forks into a session of its own: started from a script it led a process group already, and precedence did not count.

--- a/bench/run.py
+++ b/bench/run.py
@@ -9,6 +9,7 @@
 As root it takes precedence over what else runs; what else runs is said in the tables."""
 import argparse
 import os
+import signal
 import sys
 
 sys.dont_write_bytecode = True  # nothing is left in the tree
@@ -20,14 +21,20 @@
     return [int(each) for each in text.split(",")]
 
 
-def take_precedence(options):
+def in_own_session(options):
     """A session of its own: where the kernel shares a core out by session first, precedence counts within one only."""
+    child = os.fork()
+    if child:
+        for which in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(which, lambda *_: os.kill(child, signal.SIGTERM))
+        sys.exit(os.waitstatus_to_exitcode(os.waitpid(child, 0)[1]))
+    os.setsid()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     try:
-        os.setsid()
         with open("/proc/self/autogroup", "w") as file:
             file.write(str(options.nice))
     except OSError:
-        pass  # it leads one already, or may not
+        pass  # there is none, or it is not for this user
 
 
 def main():
@@ -67,7 +74,7 @@
     options = parser.parse_args()
     if len(options.cores) < 3:
         parser.error("--cores: at least three")
-    take_precedence(options)
+    in_own_session(options)
     options.work(options)
 
 
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -144,7 +144,7 @@
 
 def earlier(build, commit, targets):
     """A commit of this repository's own history, built once under BUILD/earlier; gives the folder of its programs.
-    Today's bench/ is laid over it, so that what measures is the same for both."""
+    What measures is today's for both: store_bench is added to the earlier project's targets."""
     name = subprocess.run(["git", "-C", ROOT, "rev-parse", "--short", commit], check=True, capture_output=True,
                           text=True).stdout.strip()
     home = os.path.join(os.path.abspath(build), "earlier", name)
@@ -154,12 +154,16 @@
         archive = subprocess.run(["git", "-C", ROOT, "archive", name], check=True, capture_output=True)
         subprocess.run(["tar", "x", "-C", tree], input=archive.stdout, check=True)
     if not all(os.access(os.path.join(its, target), os.X_OK) for target in targets):
-        shutil.rmtree(os.path.join(tree, "bench"), ignore_errors=True)
-        shutil.copytree(os.path.join(ROOT, "bench"), os.path.join(tree, "bench"))
+        with open(os.path.join(home, "today.cmake"), "w") as file:
+            file.write("function(today)\n"
+                       f'  add_executable(store_bench "{ROOT}/bench/store_bench.cpp")\n'
+                       "  target_link_libraries(store_bench PRIVATE flaxdoor::store CLI11::CLI11)\n"
+                       "endfunction()\ncmake_language(DEFER CALL today)\n")
         log = os.path.join(home, "log")
         with open(log, "w") as file:
-            for command in (["cmake", "-S", tree, "-B", its, "-DCMAKE_BUILD_TYPE=Release", "-DFLAXDOOR_BENCH=ON"],
-                            ["cmake", "--build", its, "-j2", "--target", *map(os.path.basename, targets)]):
+            for command in (["cmake", "-S", tree, "-B", its, "-DCMAKE_BUILD_TYPE=Release",
+                             f"-DCMAKE_PROJECT_flaxdoor_INCLUDE={home}/today.cmake"],
+                            ["cmake", "--build", its, "-j2", "--target", *targets]):
                 if subprocess.run(["nice", *command], stdout=file, stderr=subprocess.STDOUT).returncode != 0:
                     sys.exit(f"{name} can't be built: {log}")
     return its
--- a/bench/subjects/proxies.py
+++ b/bench/subjects/proxies.py
@@ -46,7 +46,6 @@
 
 class Subject:
     """One front: its servers, our operator's file, the load's words, and which baselines stand beside it."""
-    earlier_needs = ["flaxdoor_balancer"]
     baselines = {"relay": "bench/flaxdoor_relay", "HTTP forwarder": "bench/flaxdoor_http_forward"}
 
     def __init__(self, stage):
@@ -86,7 +85,7 @@
 
 
 class Gateway(Subject):
-    load = ["--host", "book.example", "--path", "/api/x"]
+    load = ["--host", "book.example", "--path", "/api/x", "--class", "browse"]
 
     def __init__(self, stage):
         super().__init__(stage)
@@ -142,7 +141,7 @@
     core, load_core, *_ = options.cores
     programs = {"ours": stage.program("flaxdoor_balancer")}
     if options.earlier:
-        programs["earlier"] = f"{earlier(options.build, options.earlier, subject.earlier_needs)}/flaxdoor_balancer"
+        programs["earlier"] = f"{earlier(options.build, options.earlier, ["flaxdoor_balancer"])}/flaxdoor_balancer"
     proxies = {name: subject.balancer(core, program) for name, program in programs.items()}
     servers = [word for each in subject.servers for word in ("--server", each)]
     for name, program in subject.baselines.items():
--- a/bench/subjects/store.py
+++ b/bench/subjects/store.py
@@ -19,8 +19,8 @@
         program = stage.program("bench/store_bench")
         self.all = {"store": (program, "store"), "baseline": (program, "baseline")}
         if options.earlier:
-            its = earlier(options.build, options.earlier, ["bench/store_bench"])
-            self.all["earlier"] = (f"{its}/bench/store_bench", "store")
+            its = earlier(options.build, options.earlier, ["store_bench"])
+            self.all["earlier"] = (f"{its}/store_bench", "store")
         self.cores = ",".join(map(str, options.cores))
 
     def run(self, command, name="store", at="x", fresh=False, **more):
