--- a/tests/settings/reload_test.cpp
+++ b/tests/settings/reload_test.cpp
@@ -6,111 +6,88 @@
 namespace flaxdoor::settings {
 namespace {
 
-using namespace std::chrono_literals;
 using namespace samples;
 
 std::string lines(const std::vector<Change>& all) {
     std::string text;
-    for (const Change& change : all) {
-        text += (change.takes == Takes::reload ? "now " : "held ") + line_of(change) + "\n";
-    }
+    for (const Change& change : all) text += line_of(change) + "\n";
     return text;
 }
 
-Reload reloaded(const Values& was, const Values& wanted) {
-    auto result = reload(was, wanted);
-    if (const auto* faults = std::get_if<Faults>(&result)) {
-        ADD_FAILURE() << faults->text("it");
-        return {was, {}, {}};
-    }
-    return std::get<Reload>(std::move(result));
-}
+const std::string a = "[[route]]\nname = \"a\"\n", b = "[[route]]\nname = \"b\"\n",
+                  c = "[[route]]\nname = \"c\"\n";
+const std::string store = "[store]\nserver = \"a:1\"\nlinks = 5\n";
 
-TEST(Reload, TheSameFileWrittenOtherwiseChangesNothing) {
-    const Values was = read("[all]\npause = \"1s\"\n", schema());
-    const Values wanted = read("all = {pause = \"1000ms\", least = 1}\n[[route]]\nname = \"a\"", schema());
-    EXPECT_EQ(lines(changes(was, wanted)), "now route[\"a\"]: now a new row\n");
-    EXPECT_TRUE(changes(was, was).empty());
-}
+struct Case {
+    const char* name;
+    Takes presence;           // when rows and optional tables come and go
+    std::string was, wanted;  // files
+    std::string taken, held;  // changes
+    std::string left;         // a file that says what holds afterwards
+};
+
+const Case cases[] = {
+    {"TheSameWrittenOtherwise", Takes::reload, "[all]\npause = \"1s\"\n",
+     "all = {pause = \"1000ms\", least = 1}\n", "", "", "[all]\npause = \"1s\"\n"},
+    {"WhatNeedsARestartStays", Takes::reload, "[all]\nleast = 2\nmost = 20\n",
+     "[all]\nleast = 3\nmost = 30\npause = \"1s\"\nlimit = \"9s\"\n",
+     "all.most: 20 to 30\nall.pause: \"3s\" to \"1s\"\n", "all.least: 2 to 3\nall.limit: now \"9s\"\n",
+     "[all]\nleast = 2\nmost = 30\npause = \"1s\"\n"},
+    {"RowsAreToldApartByTheirNames", Takes::reload, a + "share = 1\nprefix = \"/a\"\n" + b,
+     c + a + "share = 5\nprefix = \"/x\"\n",
+     "route[\"c\"]: now a new row\nroute[\"a\"].share: 1 to 5\nroute[\"b\"]: no longer a row\n",
+     "route[\"a\"].prefix: \"/a\" to \"/x\"\n", c + a + "share = 5\nprefix = \"/a\"\n"},
+    {"RowsThatTakeARestartNeitherComeNorGo", Takes::restart, a + b, c + b + "share = 7\n",
+     "route[\"b\"].share: 1 to 7\n", "route[\"c\"]: now a new row\nroute[\"a\"]: no longer a row\n",
+     b + "share = 7\n" + a},
+    {"ASubsystemIsTurnedOnWithItsValues", Takes::reload, "", store, "store: now given\n", "", store},
+    {"ASubsystemIsTurnedOff", Takes::reload, store, "", "store: no longer given\n", "", ""},
+    {"ASubsystemThatStaysOff", Takes::restart, "", store, "", "store: now given\n", ""},
+    {"ASubsystemThatStaysOn", Takes::restart, store, "", "", "store: no longer given\n", store},
+};
 
-TEST(Reload, WhatNeedsARestartStaysAsItWas) {
-    const Values was = read("[all]\nleast = 2\nmost = 20\n", schema());
-    const Values wanted = read("[all]\nleast = 3\nmost = 30\npause = \"1s\"\nlimit = \"9s\"\n", schema());
-    const Reload result = reloaded(was, wanted);
-    EXPECT_EQ(lines(result.taken), "now all.most: 20 to 30\nnow all.pause: \"3s\" to \"1s\"\n");
-    EXPECT_EQ(lines(result.held), "held all.least: 2 to 3\nheld all.limit: now \"9s\"\n");
-    EXPECT_EQ(result.values.get(least), 2);
-    EXPECT_EQ(result.values.get(most), 30);
-    EXPECT_EQ(result.values.get(pause), 1s);
-    EXPECT_EQ(result.values.get(limit), std::nullopt);
-    // What was held is still wanted at the next reload.
-    EXPECT_EQ(lines(changes(result.values, wanted)), "held all.least: 2 to 3\nheld all.limit: now \"9s\"\n");
-    EXPECT_EQ(lines(changes(wanted, was)).substr(0, 24), "held all.least: 3 to 2\nn");
+void PrintTo(const Case& its, std::ostream* out) { *out << its.name; }
+
+class Reloads : public testing::TestWithParam<Case> {};
+
+TEST_P(Reloads, TakesSomeAndHoldsTheRest) {
+    const Case& its = GetParam();
+    const Schema schema = samples::schema(its.presence);
+    const Values wanted = read(its.wanted, schema);
+    const auto result = reload(read(its.was, schema), wanted);
+    ASSERT_TRUE(std::holds_alternative<Reload>(result)) << std::get<Faults>(result).text("it");
+    const Reload& made = std::get<Reload>(result);
+    EXPECT_EQ(lines(made.taken), its.taken);
+    EXPECT_EQ(lines(made.held), its.held);
+    EXPECT_EQ(lines(changes(made.values, read(its.left, schema))), "");
+    EXPECT_EQ(lines(changes(made.values, wanted)), its.held) << "it is still wanted at the next reload";
+    // Rows are in the order that `left` has them in.
+    const auto rows = read(its.left, schema).rows("route");
+    ASSERT_EQ(made.values.rows("route").size(), rows.size());
+    for (std::size_t i = 0; i < rows.size(); ++i)
+        EXPECT_EQ(made.values.rows("route")[i].label(), rows[i].label());
 }
 
+INSTANTIATE_TEST_SUITE_P(Reload, Reloads, testing::ValuesIn(cases),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 // Each file is right in itself, but least stays at 50 until a restart, and most would go below it.
 TEST(Reload, ValuesThatDoNotGoWithThoseThatStay) {
-    const Values was = read("[all]\nleast = 50\nmost = 60\n", schema());
-    const Values wanted = read("[all]\nmost = 10\n", schema());
-    const auto result = reload(was, wanted);
+    const auto result =
+        reload(read("[all]\nleast = 50\nmost = 60\n", schema()), read("[all]\nmost = 10\n", schema()));
     ASSERT_TRUE(std::holds_alternative<Faults>(result));
     EXPECT_EQ(std::get<Faults>(result).text("F"),
               "F:2:1: least must not exceed most (all.most); raise most\n");
 }
 
-TEST(Reload, RowsAreToldApartByTheirNames) {
-    const std::string a = "[[route]]\nname = \"a\"\n", b = "[[route]]\nname = \"b\"\n";
-    const Values was = read(a + "share = 1\nprefix = \"/a\"\n" + b, schema());
-    const Values wanted = read("[[route]]\nname = \"c\"\n" + a + "share = 5\nprefix = \"/x\"\n", schema());
-    const Reload result = reloaded(was, wanted);
-    EXPECT_EQ(lines(result.taken),
-              "now route[\"c\"]: now a new row\nnow route[\"a\"].share: 1 to 5\nnow route[\"b\"]: no longer "
-              "a row\n");
-    EXPECT_EQ(lines(result.held), "held route[\"a\"].prefix: \"/a\" to \"/x\"\n");
-    ASSERT_EQ(result.values.rows("route").size(), 2u);
-    EXPECT_EQ(result.values.rows("route")[0].label(), "c");
-    EXPECT_EQ(result.values.rows("route")[1].get(share), 5);
-    EXPECT_EQ(result.values.rows("route")[1].get(prefix), Path{"/a"});
-}
-
-TEST(Reload, RowsThatTakeARestartNeitherComeNorGo) {
-    const Schema fixed = schema(Takes::restart);
-    const Values was = read("[[route]]\nname = \"a\"\n[[route]]\nname = \"b\"\n", fixed);
-    const Values wanted = read("[[route]]\nname = \"c\"\n[[route]]\nname = \"b\"\nshare = 7\n", fixed);
-    const Reload result = reloaded(was, wanted);
-    ASSERT_EQ(result.values.rows("route").size(), 2u);
-    EXPECT_EQ(result.values.rows("route")[0].label(), "b");
-    EXPECT_EQ(result.values.rows("route")[0].get(share), 7);
-    EXPECT_EQ(result.values.rows("route")[1].label(), "a");
-    EXPECT_EQ(lines(result.held), "held route[\"c\"]: now a new row\nheld route[\"a\"]: no longer a row\n");
-}
-
-TEST(Reload, ASubsystemIsTurnedOnWithItsValuesOrStaysOff) {
-    const std::string on_text = "[store]\nserver = \"a:1\"\nlinks = 5\n";
-    {
-        const Values was = read("", schema()), wanted = read(on_text, schema());
-        const Reload result = reloaded(was, wanted);
-        EXPECT_TRUE(result.values.given("store"));
-        EXPECT_EQ(result.values.get(server).host, "a");
-        EXPECT_EQ(lines(result.taken), "now store: now given\n");
-        EXPECT_EQ(lines(reloaded(wanted, was).taken), "now store: no longer given\n");
-        EXPECT_FALSE(reloaded(wanted, was).values.given("store"));
-    }
-    const Schema fixed = schema(Takes::restart);
-    const Values was = read("", fixed), wanted = read(on_text, fixed);
-    EXPECT_FALSE(reloaded(was, wanted).values.given("store"));
-    EXPECT_EQ(lines(reloaded(was, wanted).held), "held store: now given\n");
-    EXPECT_EQ(reloaded(wanted, was).values.get(links), 5);
-}
-
 // The values outlive the schema objects that they were read with.
 TEST(Reload, ValuesOfTwoSchemasOfTheSameList) {
-    std::optional<Values> was = read("[[route]]\nname = \"a\"\n", schema(Takes::restart));
+    std::optional<Values> was = read(a, schema(Takes::restart));
     std::optional<Values> wanted = read("", schema(Takes::restart));
-    const Reload result = reloaded(*was, *wanted);
+    const auto result = reload(*was, *wanted);
     was.reset();
     wanted.reset();
-    EXPECT_EQ(result.values.rows("route").front().get(name), "a");
+    EXPECT_EQ(std::get<Reload>(result).values.rows("route").front().get(name), "a");
 }
 
 }  // namespace
--- a/tests/settings/rows_test.cpp
+++ b/tests/settings/rows_test.cpp
@@ -7,15 +7,8 @@
 using namespace samples;
 
 TEST(Rows, AreReadInTheOrderOfTheFile) {
-    const Values values = read(R"(
-[[route]]
-name = "b"
-share = 3
-[[route]]
-name = "a"
-prefix = "/a"
-)",
-                               schema());
+    const Values values =
+        read("[[route]]\nname = \"b\"\nshare = 3\n[[route]]\nname = \"a\"\nprefix = \"/a\"\n", schema());
     const auto& rows = values.rows("route");
     ASSERT_EQ(rows.size(), 2u);
     EXPECT_EQ(rows[0].get(name), "b");
@@ -29,38 +22,38 @@
     EXPECT_EQ(read("route = [{name = \"x\"}]", schema()).rows("route").front().label(), "x");
 }
 
-TEST(Rows, EachNeedsItsOwnName) {
-    EXPECT_EQ(
-        faults_of("[[route]]\nname = \"a\"\n[[route]]\nshare = 2\n[[route]]\n  name = \"a\"\n", schema()),
-        "F:3:1: [[route]] lacks name (route.name); it has no default; give it\n"
-        "F:6:10: \"a\" is already in line 2 (route.name); each [[route]] needs its own\n");
-}
-
-TEST(Rows, WrongKinds) {
-    EXPECT_EQ(faults_of("[route]\nname = \"a\"", schema()),
-              "F:1:2: wanted [[route]], found a table (route); write [[route]]\n");
-    EXPECT_EQ(faults_of("route = 1", schema()),
-              "F:1:1: wanted [[route]], found a whole number (route); its keys go below a line [[route]]\n");
-    EXPECT_EQ(faults_of("route = [1, {name = \"a\", shar = 2}]", schema()),
-              "F:1:10: wanted [[route]], found a whole number (route); its keys go below a line [[route]]\n"
-              "F:1:26: unknown key (route.shar); did you mean share?\n");
-}
-
-TEST(Rows, AreBounded) {
-    std::string text;
-    for (int i = 0; i < 4; ++i) text += "[[route]]\nname = \"r" + std::to_string(i) + "\"\n";
-    EXPECT_EQ(faults_of(text, schema()), "");
-    EXPECT_EQ(faults_of(text + "[[route]]\nname = \"x\"\n[[route]]\nname = \"y\"\n", schema()),
-              "F:9:1: more than 4 rows (route)\n");
-}
+struct Wrong {
+    const char* what;
+    std::string text, faults;
+};
 
-TEST(Rows, ChecksBetweenTablesBlameTheFirstKeyThatIsGiven) {
-    const std::string row = "[[route]]\nname = \"a\"\nshare = 1001\n";
-    EXPECT_EQ(faults_of(row, schema()),
-              "F:3:1: the shares exceed a hundred times all.most (route.share); lower a share\n");
-    EXPECT_EQ(faults_of(row + "[all]\nmost = 20\n", schema()), "");
-    EXPECT_EQ(faults_of(row + "[all]\nmost = 200\n", schema()),
-              "F:5:8: 200 is out of range -5..100 (all.most); write at most 100\n");
+TEST(Rows, WhatIsWrongWithThem) {
+    const std::string four =
+        "[[route]]\nname = \"a\"\n[[route]]\nname = \"b\"\n[[route]]\nname = \"c\"\n[[route]]\nname = "
+        "\"d\"\n";
+    const std::string shares = "[[route]]\nname = \"a\"\nshare = 1001\n";
+    const Wrong all[] = {
+        {"no name, and one's name again",
+         "[[route]]\nname = \"a\"\n[[route]]\nshare = 2\n[[route]]\n  name = \"a\"\n",
+         "F:3:1: [[route]] lacks name (route.name); it has no default; give it\n"
+         "F:6:10: \"a\" is already in line 2 (route.name); each [[route]] needs its own\n"},
+        {"one table", "[route]\nname = \"a\"",
+         "F:1:2: wanted [[route]], found a table (route); write [[route]]\n"},
+        {"a number", "route = 1",
+         "F:1:1: wanted [[route]], found a whole number (route); its keys go below a line [[route]]\n"},
+        {"a list with a number and a slip", "route = [1, {name = \"a\", shar = 2}]",
+         "F:1:10: wanted [[route]], found a whole number (route); its keys go below a line [[route]]\n"
+         "F:1:26: unknown key (route.shar); did you mean share?\n"},
+        {"as many as there may be", four, ""},
+        {"more than that", four + "[[route]]\nname = \"x\"\n[[route]]\nname = \"y\"\n",
+         "F:9:1: more than 4 rows (route)\n"},
+        {"a check between tables blames the first key that is given", shares,
+         "F:3:1: the shares exceed a hundred times all.most (route.share); lower a share\n"},
+        {"that check with the other table", shares + "[all]\nmost = 20\n", ""},
+        {"and with a fault there", shares + "[all]\nmost = 200\n",
+         "F:5:8: 200 is out of range -5..100 (all.most); write at most 100\n"},
+    };
+    for (const Wrong& each : all) EXPECT_EQ(faults_of(each.text, schema()), each.faults) << each.what;
 }
 
 TEST(Rows, AnOptionalTableIsOffUnlessGiven) {
