--- a/bench/subjects/proxies.py
+++ b/bench/subjects/proxies.py
@@ -141,7 +141,8 @@
     core, load_core, *_ = options.cores
     programs = {"ours": stage.program("flaxdoor_balancer")}
     if options.earlier:
-        programs["earlier"] = f"{earlier(options.build, options.earlier, ["flaxdoor_balancer"])}/flaxdoor_balancer"
+        its = earlier(options.build, options.earlier, ["flaxdoor_balancer"])
+        programs["earlier"] = os.path.join(its, "flaxdoor_balancer")
     proxies = {name: subject.balancer(core, program) for name, program in programs.items()}
     servers = [word for each in subject.servers for word in ("--server", each)]
     for name, program in subject.baselines.items():
--- a/bench/subjects/store.py
+++ b/bench/subjects/store.py
@@ -132,6 +132,8 @@
 def start(e, megabytes):
     keys = megabytes * 9000
     names = list(e.all) if megabytes <= 100 else ["store"]
+    for name in names:
+        e.loaded(name, keys)
     head(f"start over {megabytes} MB, {keys:,} keys, not in the page cache", "log", "MB in the folder", "ms",
          "ms to the first read")
     for name in names:
