Recovery's tests: one shelf that is told and learns, cold upstreams as a table

Rule 7 (never warmer than it can be) is a table of four cases, and figures that can't be are drawn together with times that can't be in one test, so that each figure meets each time. The herd's printout by an environment variable goes: nothing asserted there.

--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -5,50 +5,14 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
-#include <nlohmann/json.hpp>
 
+#include "lines.h"
+#include "plain_config.h"
 #include "settings/product.h"
 
 namespace flaxdoor::engine::test {
 namespace {
 
-using nlohmann::json;
-
-json test_class(const char* name, const char* effect) {
-    return {{"name", name},    {"aim", 150.0},      {"hard_limit", 500.0}, {"effect", effect}, {"worth", 1.0},
-            {"stream", false}, {"late_worth", 0.5}, {"group", "zone"},     {"window", 1500.0}};
-}
-
-json plain(const std::string& upstream = "127.0.0.1:1") {
-    return {{"name", "n0"},
-            {"listen", "127.0.0.1:0"},
-            {"discovery", "127.0.0.1:1"},
-            {"seed", "8c1f30d27a5be964"},
-            {"known",
-             {{"seq", 7},
-              {"whole", true},
-              {"hosts",
-               {{{"host", "s-0"},
-                 {"dial", upstream},
-                 {"site", "here"},
-                 {"class", "full node"},
-                 {"health", "active"}}}}}},
-            {"settings",
-             {{"rank", 0},
-              {"siblings", 1},
-              {"zone", 0},
-              {"zones", {"here", "there"}},
-              {"flavors", {"full node"}},
-              {"tick", 1.0},
-              {"registry_mode", "push"},
-              {"services",
-               {test_class("look", "idempotent"), test_class("book it", "deduplicated"),
-                test_class("once", "at_most_once")}},
-              {"tenants", json::array()},
-              {"limits", {{"max_attempts", 5}, {"connect_timeout", 2000.0}, {"idle_close", 60000.0}}},
-              {"load_report", {{"how", "inline"}, {"fields", {"active", "avg_ms"}}}}}}};
-}
-
 TEST(Config, FlattensToTheWiresLines) {
     const json settings = {{"a", {{"b", 1.5}, {"c", true}}},
                            {"names", {"full node", "x,y"}},
@@ -86,10 +50,7 @@
     return {parse_config(plain(upstream).dump()), settings::Values(settings::product_schema())};
 }
 
-struct Lines final : core::Log {
-    void line(std::string_view text) override { all.emplace_back(text); }
-    std::vector<std::string> all;
-};
+using flaxdoor::test::Lines;
 
 // Destroyed with timers due, calls open and connections in every state, and the loop run on after it: nothing
 // of it is used any more (the address sanitizer tells). So it was with a host that held a bare `this` in its
--- /dev/null
+++ b/tests/lines.h
@@ -0,0 +1,26 @@
+// A log that keeps its lines.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/core.h"
+
+namespace flaxdoor::test {
+
+struct Lines final : core::Log {
+    void line(std::string_view text) override { all.emplace_back(text); }
+    std::size_t count(std::string_view start) const {
+        return static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [&](const auto& l) { return l.starts_with(start); }));
+    }
+    bool has(std::string_view part) const {
+        return std::any_of(all.begin(), all.end(),
+                           [&](const auto& l) { return l.find(part) != std::string::npos; });
+    }
+    std::vector<std::string> all;
+};
+
+}  // namespace flaxdoor::test
--- a/tests/recovery/belief_test.cpp
+++ b/tests/recovery/belief_test.cpp
@@ -51,8 +51,7 @@
     // Of another pool there is nothing under this one's keys.
     Shelf shelf;
     Recorder recorder({"127.0.0.1:8500", "api2", "n0"}, {}, now0);
-    recorder.on_list(now0, list(99, {member(2)}, ListKind::full));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(99, {member(2)}, ListKind::full));
     EXPECT_FALSE(believe_at(now0, list(7, {member(1)}), shelf.read()).stored);
 }
 
@@ -143,12 +142,9 @@
         believe_at(now0 + minutes(6), list(1, {}), stored(9, {member(1)}, {{1, memory(8000, 18)}}, now0));
     Shelf shelf;
     Recorder recorder(here, first.list, now0 + minutes(6));
-    recorder.on_list(now0 + minutes(8), list(9, {}, ListKind::delta));
-    shelf.put(recorder.take_list_changes());
-    for (std::size_t i = 0; i < Recorder::slices; ++i) {
-        shelf.put(recorder.take_memory_changes(
-            now0 + minutes(8), [&](UpstreamId id) { return std::optional(memory_of(first, id)); }));
-    }
+    shelf.tell(recorder, now0 + minutes(8), list(9, {}, ListKind::delta));
+    shelf.learn(recorder, now0 + minutes(8),
+                [&](UpstreamId id) { return std::optional(memory_of(first, id)); });
     const auto second = memory_of(believe_at(now0 + minutes(10), list(1, {}), shelf.read()), 1);
     EXPECT_NEAR(second.limit, 10, 1e-6);
     EXPECT_NEAR(second.latency_us, 4000, 1e-6);
@@ -156,32 +152,31 @@
 
 // Rule 7: a remembered upstream is never warmer than it can be.
 TEST(Belief, OneThatMayBeColdGetsNoMoreThanANewOne) {
-    auto cold = memory();
-    cold.cold_since = now0 - seconds(1);  // as this balancer found by itself
-    const auto m =
-        memory_of(believe_at(now0 + seconds(1), list(1, {}), stored(9, {member(1)}, {{1, cold}}, now0)), 1);
-    EXPECT_EQ(m.cold_since, now0 - seconds(1));
-    EXPECT_EQ(m.limit, UpstreamMemory{}.limit);
-
-    const auto listed = memory_of(
-        believe_at(now0 + seconds(1), list(1, {}),
-                   stored(9, {member(1, UpstreamState::ready, now0 - seconds(2))}, {{1, memory()}}, now0)),
-        1);
-    EXPECT_EQ(listed.cold_since, now0 - seconds(2));
-    EXPECT_EQ(listed.limit, UpstreamMemory{}.limit);
-
-    // A configuration that names an earlier start does not make it older.
-    const auto known = memory_of(
-        believe_at(now0 + seconds(1), list(10, {member(1)}),
-                   stored(9, {member(1, UpstreamState::ready, now0 - seconds(2))}, {{1, memory()}}, now0)),
-        1);
-    EXPECT_EQ(known.cold_since, now0 - seconds(2));
-
-    const auto warm = memory_of(
-        believe_at(now0 + seconds(7), list(1, {}),
-                   stored(9, {member(1, UpstreamState::ready, now0 - seconds(2))}, {{1, memory()}}, now0)),
-        1);
-    EXPECT_GT(warm.limit, UpstreamMemory{}.limit);
+    struct Line {
+        const char* what;
+        Time found_cold, stored_start;  // as this balancer found by itself; as the kept list has it
+        core::MemberList known;         // by the configuration
+        Micros age;
+        Time cold_since;
+        bool as_new;
+    };
+    const Time start = now0 - seconds(2);
+    const Line lines[] = {
+        {"found cold", now0 - seconds(1), Time{}, list(1, {}), seconds(1), now0 - seconds(1), true},
+        {"listed as cold", Time{}, start, list(1, {}), seconds(1), start, true},
+        {"no configuration makes it older", Time{}, start, list(10, {member(1)}), seconds(1), start, true},
+        {"warm by now", Time{}, start, list(1, {}), seconds(7), start, false},
+    };
+    for (const Line& line : lines) {
+        auto was = memory();
+        was.cold_since = line.found_cold;
+        const auto m = memory_of(
+            believe_at(now0 + line.age, line.known,
+                       stored(9, {member(1, UpstreamState::ready, line.stored_start)}, {{1, was}}, now0)),
+            1);
+        EXPECT_EQ(m.cold_since, line.cold_since) << line.what;
+        EXPECT_EQ(m.limit == UpstreamMemory{}.limit, line.as_new) << line.what << ": " << m.limit;
+    }
 }
 
 // Rule 8.
@@ -266,39 +261,29 @@
     EXPECT_EQ(memory_of(slight, 1).limit, memory().limit);
 }
 
-// Figures that no module writes do no harm.
-TEST(Belief, FiguresThatCantBeAreNone) {
-    for (const double wrong : {-1e9, -1.0, 0.0, 0.5}) {
-        auto odd = memory(wrong, wrong);
-        odd.out = true;
-        const auto belief = believe_at(now0, list(1, {}), stored(9, {member(1)}, {{1, odd}}, now0));
-        const auto m = memory_of(belief, 1);
-        EXPECT_GE(m.limit, 1);
-        EXPECT_GE(m.latency_us, 0);
-        EXPECT_GE(m.idle_us, 0);
-    }
-}
-
-// Whole and well sealed, and still nothing that could be: no number leaves its range, whatever is done with
-// it.
+// Whole and well sealed, and still nothing that any module writes: no number leaves its range, whatever is
+// done with it.
 TEST(Belief, AbsurdValuesStayWithinTheirRange) {
     constexpr auto most = std::numeric_limits<std::int64_t>::max();
-    for (const Time time : {Time(most), Time(-most), Time(-1)}) {
-        UpstreamMemory absurd = memory(1e300, 1e300);
-        absurd.strikes = std::numeric_limits<int>::max();
-        absurd.out = true;
-        absurd.out_until = absurd.answered_at = absurd.cold_since = time;
-        const auto belief = believe_at(
-            now0, list(1, {}), stored(9, {member(1, UpstreamState::ready, time)}, {{1, absurd}}, now0));
-        ASSERT_EQ(belief.list.members.size(), 1U);
-        const auto& entry = belief.list.members[0].entry;
-        ASSERT_TRUE(entry.memory);
-        EXPECT_LE(entry.memory->limit, 65'535);
-        EXPECT_LE(entry.memory->strikes, 1000);
-        for (const Time each : {entry.started_at, entry.memory->out_until, entry.memory->answered_at,
-                                entry.memory->cold_since}) {
-            EXPECT_GE(each, Time{});
-            EXPECT_LE(each, Time(most / 4 + 1));
+    for (const double figure : {-1e9, -1.0, 0.0, 0.5, 1e300}) {
+        for (const Time time : {Time(most), Time(-most), Time(-1)}) {
+            UpstreamMemory absurd = memory(figure, figure);
+            absurd.strikes = std::numeric_limits<int>::max();
+            absurd.out = true;
+            absurd.out_until = absurd.answered_at = absurd.cold_since = time;
+            const auto belief = believe_at(
+                now0, list(1, {}), stored(9, {member(1, UpstreamState::ready, time)}, {{1, absurd}}, now0));
+            const auto m = memory_of(belief, 1);
+            EXPECT_GE(m.limit, 1);
+            EXPECT_LE(m.limit, 65'535);
+            EXPECT_GE(m.latency_us, 0);
+            EXPECT_GE(m.idle_us, 0);
+            EXPECT_LE(m.strikes, 1000);
+            for (const Time each :
+                 {belief.list.members[0].entry.started_at, m.out_until, m.answered_at, m.cold_since}) {
+                EXPECT_GE(each, Time{});
+                EXPECT_LE(each, Time(most / 4 + 1));
+            }
         }
     }
 }
--- a/tests/recovery/herd_test.cpp
+++ b/tests/recovery/herd_test.cpp
@@ -3,10 +3,8 @@
 // pushed over, and those that come back must not all choose the same one.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <deque>
 #include <functional>
-#include <iostream>
 #include <queue>
 #include <random>
 
@@ -155,8 +153,7 @@
         }
         void hear(const core::MemberList& list) {
             if (!core) return;
-            recorder->on_list(world.now_, list);
-            shelf.put(recorder->take_list_changes());
+            shelf.tell(*recorder, world.now_, list);
             core->on_list(pool, list);
         }
         void tick(int its_life) {
@@ -331,11 +328,6 @@
                                                      })));
         }
         EXPECT_LE(crowd, 2U);
-        if (std::getenv("FLAXDOOR_TELL")) {
-            std::cerr << "seed " << seed << ": cold " << multiple << " of " << w.rule_.fall_multiple
-                      << ", served " << share << ", trials " << w.trials_.size() << ", at once " << crowd
-                      << "\n";
-        }
     }
 }
 
--- a/tests/recovery/record_test.cpp
+++ b/tests/recovery/record_test.cpp
@@ -68,11 +68,8 @@
 Shelf some_shelf() {
     Shelf shelf;
     Recorder recorder(here, {}, now0);
-    recorder.on_list(now0, list(9, {odd_member(1), odd_member(2), odd_member(65)}, ListKind::full));
-    shelf.put(recorder.take_list_changes());
-    for (std::size_t i = 0; i < Recorder::slices; ++i) {
-        shelf.put(recorder.take_memory_changes(now0, [](UpstreamId) { return std::optional(memory()); }));
-    }
+    shelf.tell(recorder, now0, list(9, {odd_member(1), odd_member(2), odd_member(65)}, ListKind::full));
+    shelf.learn(recorder, now0, always(memory()));
     return shelf;
 }
 
--- a/tests/recovery/recorder_test.cpp
+++ b/tests/recovery/recorder_test.cpp
@@ -16,9 +16,6 @@
     }
     return all;
 }
-Recorder::Learned always(UpstreamMemory m) {
-    return [m](UpstreamId) { return std::optional(m); };
-}
 
 // An old list that is written again would look newer than it is.
 TEST(Recorder, WritesNothingBeforeAListHasCome) {
@@ -140,8 +137,7 @@
 TEST(Recorder, NothingLearnedIsNothingWritten) {
     Recorder recorder(here, list(1, {member(1), member(2)}), now0);
     Shelf shelf;
-    recorder.on_list(now0, list(1, {}, ListKind::delta));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(1, {}, ListKind::delta));
     shelf.put(round(recorder, now0,
                     [](UpstreamId id) { return id == 1 ? std::optional(UpstreamMemory{}) : std::nullopt; }));
     EXPECT_TRUE(shelf.read().remembered.empty());
@@ -151,18 +147,15 @@
 TEST(Recorder, AListThatIsTooLargeIsTakenBack) {
     Shelf shelf;
     Recorder recorder(here, {}, now0);
-    recorder.on_list(now0, list(1, {member(1)}, ListKind::full));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(1, {member(1)}, ListKind::full));
     ASSERT_TRUE(shelf.read().list);
     std::vector<core::Member> many;
     for (UpstreamId id = 0; id <= Recorder::members_most; ++id) many.push_back(member(id));
-    recorder.on_list(now0, list(2, many, ListKind::full));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(2, many, ListKind::full));
     EXPECT_TRUE(recorder.too_large());
     EXPECT_FALSE(shelf.read().list);
     EXPECT_TRUE(recorder.take_memory_changes(now0, always(memory())).empty());
-    recorder.on_list(now0, list(3, {member(2)}, ListKind::full));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(3, {member(2)}, ListKind::full));
     EXPECT_FALSE(recorder.too_large());
     ASSERT_TRUE(shelf.read().list);
     EXPECT_EQ(shelf.read().list->members.size(), 1U);
@@ -200,12 +193,10 @@
 TEST(Recorder, AnotherDiscoveryIsAnotherHistory) {
     Shelf shelf;
     Recorder recorder(here, {}, now0);
-    recorder.on_list(now0, list(5, {member(1)}, ListKind::full));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(5, {member(1)}, ListKind::full));
     recorder.move_to("127.0.0.1:9");
     EXPECT_FALSE(recorder.has_list_changes());  // nothing was told there
-    recorder.on_list(now0, list(6, {}, ListKind::delta));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(6, {}, ListKind::delta));
     ASSERT_TRUE(shelf.read().list);
     EXPECT_EQ(shelf.read().list->head.history.discovery, "127.0.0.1:9");
     EXPECT_EQ(shelf.read().list->members.size(), 1U);
@@ -228,9 +219,8 @@
 TEST(Recorder, AListOfAnotherHistoryTakesAwayWhatWasLearnedInTheOneBefore) {
     Shelf shelf;
     Recorder former(here, {}, now0);
-    former.on_list(now0, list(9, {member(1), member(2)}, ListKind::full));
-    shelf.put(former.take_list_changes());
-    shelf.put(round(former, now0, always(memory())));
+    shelf.tell(former, now0, list(9, {member(1), member(2)}, ListKind::full));
+    shelf.learn(former, now0, always(memory()));
     History other = here;
     other.configuration = "n1";
     auto belief = believe(list(3, {member(1)}), shelf.read(), other, settings(), now0, minutes(10));
@@ -243,8 +233,7 @@
     for (int slice = 0; slice < 2; ++slice) {  // that of 1, and not that of 2
         shelf.put(recorder.take_memory_changes(now0, always(memory())));
     }
-    recorder.on_list(now0, list(4, {member(1), member(2)}, ListKind::full));
-    shelf.put(recorder.take_list_changes());
+    shelf.tell(recorder, now0, list(4, {member(1), member(2)}, ListKind::full));
     const auto stored = shelf.read();
     EXPECT_TRUE(stored.faults.empty());
     EXPECT_TRUE(stored.remembered.contains(1));
--- a/tests/recovery/samples.h
+++ b/tests/recovery/samples.h
@@ -63,6 +63,15 @@
             }
         }
     }
+    // The recorder is told a list, and what it writes for it is stored.
+    void tell(Recorder& recorder, Time at, core::MemberList news) {
+        recorder.on_list(at, std::move(news));
+        put(recorder.take_list_changes());
+    }
+    // All of its slices.
+    void learn(Recorder& recorder, Time at, const Recorder::Learned& learned) {
+        for (std::size_t i = 0; i < Recorder::slices; ++i) put(recorder.take_memory_changes(at, learned));
+    }
     Stored read(std::string_view pool = "api") const { return decode(pool, {values.begin(), values.end()}); }
     std::map<std::string, std::string> values;
 };
@@ -72,17 +81,18 @@
                      std::map<UpstreamId, UpstreamMemory> memories, Time at, const History& history = here) {
     Shelf shelf;
     Recorder recorder(history, {}, at);
-    recorder.on_list(at, list(version, std::move(members), ListKind::full));
-    shelf.put(recorder.take_list_changes());
-    for (std::size_t i = 0; i < Recorder::slices; ++i) {
-        shelf.put(recorder.take_memory_changes(at, [&](UpstreamId id) -> std::optional<UpstreamMemory> {
-            const auto found = memories.find(id);
-            return found == memories.end() ? std::nullopt : std::optional(found->second);
-        }));
-    }
+    shelf.tell(recorder, at, list(version, std::move(members), ListKind::full));
+    shelf.learn(recorder, at, [&](UpstreamId id) -> std::optional<UpstreamMemory> {
+        const auto found = memories.find(id);
+        return found == memories.end() ? std::nullopt : std::optional(found->second);
+    });
     return shelf.read(history.pool);
 }
 
+inline Recorder::Learned always(UpstreamMemory m) {
+    return [m](UpstreamId) { return std::optional(m); };
+}
+
 inline Settings settings() {
     Settings s = flaxdoor::test::plain_settings();
     s.balancers = 12;
