--- a/bench/subjects/proxies.py
+++ b/bench/subjects/proxies.py
@@ -188,12 +188,35 @@
         for other in names[1:]:
             row(clients, f"ours / {other}", *[ratios([a[key] for a in by_name["ours"]], [b[key] for b in by_name[other]])
                                               for key in ("rate", "cpu", "p50", "p99")])
+    if options.calls:
+        head("", "system calls for each request served, 64 clients")
+        for name, (process, _) in proxies.items():
+            its = system_calls(stage, process.pid, lambda: load(name, 64, 1.0))
+            row(name, ", ".join(f"{call} {count}" for call, count in its.items()))
     if options.idle:
         head("", "KiB of its own after the start", f"KiB for each of {options.idle} idle clients")
         for name in names:
             row(name, memory[name], f"{idle(stage, subject, proxies[name], options.idle, load_core):.2f}")
 
 
+CALLS = "epoll_wait epoll_ctl recvfrom recvmsg sendto sendmsg read write poll timerfd_settime".split()
+
+
+def system_calls(stage, pid, load):
+    """Of a proxy, for each request served, as perf counts them within a round of a second."""
+    events = ",".join(["raw_syscalls:sys_enter", *[f"syscalls:sys_enter_{call}" for call in CALLS]])
+    counting = stage.start("0-" + str(os.cpu_count() - 1), "perf", "stat", "-x,", "-e", events, "-p", pid, "--", "sleep", 3,
+                           stderr=subprocess.PIPE, text=True)
+    time.sleep(0.5)  # until it counts
+    served = max(load()["served"], 1)
+    found = {}
+    for line in counting.communicate()[1].splitlines():
+        count, _, event, *_ = line.split(",") + ["", ""]
+        if count.isdigit() and int(count) / served >= 0.005:
+            found[event.partition("sys_enter_")[2] or "all"] = f"{int(count) / served:.2f}"
+    return found
+
+
 def idle(stage, subject, proxy, count, core):
     process, address = proxy
     before = memory_kib(process.pid)
