--- a/bench/baseline/http_forward.cpp
+++ b/bench/baseline/http_forward.cpp
@@ -1,8 +1,6 @@
 // flaxdoor_http_forward: the price of HTTP. Requests and answers are read, checked and worded anew by the
 // same machines that the balancer has, and go to the next server in turn on a connection that is kept: no
 // module, no deadlines, no second attempts, one thread.
-#include <CLI/CLI.hpp>
-#include <cstdio>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -11,7 +9,7 @@
 #include "http/client_machine.h"
 #include "http/platform.h"
 #include "http/server_machine.h"
-#include "sockets.h"
+#include "proxy.h"
 
 namespace {
 
@@ -38,13 +36,9 @@
 
 class Forward {
 public:
-    Forward(const std::vector<std::string>& servers, const std::string& listen) {
-        for (const auto& each : servers) servers_.push_back({address_of(each), {}});
-        std::uint16_t port = 0;
-        listener_ = listen_on(address_of(listen), port);
+    Forward(int listener, const std::vector<sockaddr_in>& servers) : listener_(listener) {
+        for (const auto& each : servers) servers_.push_back({each, {}});
         poll_.add(listener_, EPOLLIN, nullptr);
-        std::printf("listening on 127.0.0.1:%d\n", port);
-        std::fflush(stdout);
     }
     Forward(const Forward&) = delete;
     Forward& operator=(const Forward&) = delete;
@@ -200,24 +194,13 @@
     std::vector<std::unique_ptr<Socket>> over_;
     std::array<char, 64 * 1024> room_{};
     std::size_t next_ = 0;
-    int listener_ = -1;
+    const int listener_;
 };
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    CLI::App app(
+    return run_proxy<Forward>(
+        argc, argv,
         "Reads HTTP and forwards it to servers in turn, with no balancer's module: the price of HTTP");
-    std::vector<std::string> servers;
-    std::string listen = "127.0.0.1:0";
-    app.add_option("--server", servers, "ADDRESS:PORT, again for each")->required();
-    app.add_option("--listen", listen, "ADDRESS:PORT; port 0: any that is free");
-    CLI11_PARSE(app, argc, argv);
-    try {
-        all_descriptors();
-        Forward(servers, listen).run();
-    } catch (const std::exception& error) {
-        std::fprintf(stderr, "flaxdoor_http_forward: %s\n", error.what());
-        return 1;
-    }
 }
--- a/bench/baseline/relay.cpp
+++ b/bench/baseline/relay.cpp
@@ -1,11 +1,9 @@
 // flaxdoor_relay: the floor of any proxy here. Each client's connection gets one to the next server in turn,
 // and bytes are copied both ways, on one thread; nothing is understood, nothing is shared.
-#include <CLI/CLI.hpp>
-#include <cstdio>
 #include <memory>
 #include <vector>
 
-#include "sockets.h"
+#include "proxy.h"
 
 namespace {
 
@@ -26,13 +24,8 @@
 
 class Relay {
 public:
-    Relay(const std::vector<std::string>& servers, const std::string& listen) {
-        for (const auto& each : servers) servers_.push_back(address_of(each));
-        std::uint16_t port = 0;
-        listener_ = listen_on(address_of(listen), port);
+    Relay(int listener, const std::vector<sockaddr_in>& servers) : servers_(servers), listener_(listener) {
         poll_.add(listener_, EPOLLIN, nullptr);
-        std::printf("listening on 127.0.0.1:%d\n", port);
-        std::fflush(stdout);
     }
     Relay(const Relay&) = delete;
     Relay& operator=(const Relay&) = delete;
@@ -123,23 +116,12 @@
     std::vector<std::unique_ptr<Pair>> over_;
     std::array<char, 64 * 1024> room_{};
     std::size_t next_ = 0;
-    int listener_ = -1;
+    const int listener_;
 };
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    CLI::App app("Copies bytes between clients and servers, in turn: the floor of a proxy");
-    std::vector<std::string> servers;
-    std::string listen = "127.0.0.1:0";
-    app.add_option("--server", servers, "ADDRESS:PORT, again for each")->required();
-    app.add_option("--listen", listen, "ADDRESS:PORT; port 0: any that is free");
-    CLI11_PARSE(app, argc, argv);
-    try {
-        all_descriptors();
-        Relay(servers, listen).run();
-    } catch (const std::exception& error) {
-        std::fprintf(stderr, "flaxdoor_relay: %s\n", error.what());
-        return 1;
-    }
+    return run_proxy<Relay>(argc, argv,
+                            "Copies bytes between clients and servers, in turn: the floor of a proxy");
 }
