HTTP machines' tests: one way through the splits; the fuzz targets' shared parts

Need: the server's and the client's tests each had their own two-way, three-way and byte-by-byte splits, the fuzz targets five times the same check and their script five times the same call. cases.cpp still held a table of bad input for a test that is no more: nothing read it.

Change: tests/http/splits.h takes both machines through the same splits and compares one text of all that must be alike; the fuzz targets compare that text too. A machine that waits for its answer, and one whose answer goes out, are one call each. tests/fuzz/require.h and one function in run.sh in place of the copies. The table that nothing read goes.

--- a/tests/fuzz/answers.cpp
+++ b/tests/fuzz/answers.cpp
@@ -13,10 +13,7 @@
 namespace {
 
 void compare(const Exchange& split, const Exchange& whole) {
-    require_same(split.result, whole.result, "the result differs with the split");
-    require_same(split.full, whole.full, "the answer differs with the split");
-    require(split.results == whole.results, "the number of results differs with the split");
-    require(split.state == whole.state, "the state differs with the split");
+    require_same(text_of(split), text_of(whole), "the result differs with the split");
 }
 
 void compare_with_beast(const std::string& bytes) {
--- a/tests/fuzz/check.h
+++ b/tests/fuzz/check.h
@@ -8,15 +8,12 @@
 #include <string_view>
 #include <vector>
 
+#include "fuzz/require.h"
 #include "http/drive.h"
 
 namespace flaxdoor::http::test {
 
-inline void require(bool holds, const char* what) {
-    if (holds) return;
-    std::fprintf(stderr, "broken: %s\n", what);
-    std::abort();
-}
+using fuzz::require;
 
 inline void require_same(const std::string& a, const std::string& b, const char* what) {
     if (a == b) return;
--- a/tests/fuzz/gateway.cpp
+++ b/tests/fuzz/gateway.cpp
@@ -2,10 +2,9 @@
 // tables can be built; any bytes as a list or a watch, in any pieces, give the same changes.
 #include <cstddef>
 #include <cstdint>
-#include <cstdio>
-#include <cstdlib>
 #include <string>
 
+#include "fuzz/require.h"
 #include "gateway/controller.h"
 #include "gateway/status.h"
 #include "kube/answer.h"
@@ -15,13 +14,9 @@
 using namespace flaxdoor;
 using namespace flaxdoor::gateway;
 
-namespace {
+using flaxdoor::fuzz::require;
 
-void require(bool holds, const char* what) {
-    if (holds) return;
-    std::fprintf(stderr, "broken: %s\n", what);
-    std::abort();
-}
+namespace {
 
 // What a reflector makes of these bytes, `step` at a time; the first byte says whether they are a watch.
 std::string changes_of(std::string_view bytes, bool watch, std::size_t step) {
--- a/tests/fuzz/pg.cpp
+++ b/tests/fuzz/pg.cpp
@@ -2,11 +2,10 @@
 // session between both never breaks, and answers in whole messages.
 #include <cstddef>
 #include <cstdint>
-#include <cstdio>
-#include <cstdlib>
 #include <optional>
 #include <string>
 
+#include "fuzz/require.h"
 #include "pg/client_machine.h"
 #include "pg/server_machine.h"
 #include "pg/session.h"
@@ -14,13 +13,9 @@
 using namespace flaxdoor::pg;
 using flaxdoor::Micros;
 
-namespace {
+using flaxdoor::fuzz::require;
 
-void require(bool holds, const char* what) {
-    if (holds) return;
-    std::fprintf(stderr, "broken: %s\n", what);
-    std::abort();
-}
+namespace {
 
 std::string decoded(Sender sender, std::string_view bytes, std::size_t step) {
     Limits limits;
--- a/tests/fuzz/requests.cpp
+++ b/tests/fuzz/requests.cpp
@@ -16,10 +16,7 @@
 namespace {
 
 void compare(const Trace& split, const Trace& whole) {
-    require_same(split.full, whole.full, "events differ with the split");
-    require(split.events == whole.events, "the order of events differs with the split");
-    require_same(split.written, whole.written, "answers differ with the split");
-    require(split.state == whole.state, "the state differs with the split");
+    require_same(text_of(split), text_of(whole), "events or answers differ with the split");
 }
 
 void check(const Trace& trace) {
--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -9,18 +9,18 @@
 cmake -S . -B "$build" -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DFLAXDOOR_FUZZ=ON -DFLAXDOOR_WERROR=ON
 cmake --build "$build" -j2 --target fuzz_corpus fuzz_requests fuzz_answers fuzz_store fuzz_pg fuzz_gateway
 "$build/tests/fuzz/fuzz_corpus" "$build/corpus"
-for target in requests answers; do
+
+# fuzz TARGET MOST_BYTES [OPTION...]: starts from what was found before, and from what earlier runs have grown.
+fuzz() {
+    target=$1 most=$2
+    shift 2
     mkdir -p "$build/grown/$target"
-    "$build/tests/fuzz/fuzz_$target" -max_total_time="$seconds" -max_len=20000 -timeout=10 -rss_limit_mb=1024 \
-        -artifact_prefix="$build/$target-" -dict=tests/fuzz/http.dict -print_final_stats=1 \
-        "$build/grown/$target" "$build/corpus/$target" "tests/fuzz/found/$target"
+    "$build/tests/fuzz/fuzz_$target" -max_total_time="$seconds" -max_len="$most" -timeout=10 -rss_limit_mb=1024 \
+        -artifact_prefix="$build/$target-" -print_final_stats=1 "$@" "$build/grown/$target" "tests/fuzz/found/$target"
+}
+for target in requests answers; do
+    fuzz "$target" 20000 -dict=tests/fuzz/http.dict "$build/corpus/$target"
 done
-mkdir -p "$build/grown/store"
-"$build/tests/fuzz/fuzz_store" -max_total_time="$seconds" -max_len=400 -len_control=0 -timeout=10 -rss_limit_mb=1024 \
-    -artifact_prefix="$build/store-" -print_final_stats=1 "$build/grown/store" tests/fuzz/found/store
-mkdir -p "$build/grown/pg"
-"$build/tests/fuzz/fuzz_pg" -max_total_time="$seconds" -max_len=4000 -timeout=10 -rss_limit_mb=1024 \
-    -artifact_prefix="$build/pg-" -print_final_stats=1 "$build/grown/pg" tests/fuzz/found/pg
-mkdir -p "$build/grown/gateway"
-"$build/tests/fuzz/fuzz_gateway" -max_total_time="$seconds" -max_len=4000 -timeout=10 -rss_limit_mb=2048 \
-    -artifact_prefix="$build/gateway-" -print_final_stats=1 "$build/grown/gateway" tests/fuzz/found/gateway
+fuzz store 400 -len_control=0
+fuzz pg 4000
+fuzz gateway 4000 -rss_limit_mb=2048
--- a/tests/fuzz/store.cpp
+++ b/tests/fuzz/store.cpp
@@ -4,11 +4,10 @@
 // The input is a list of changes to a good store, so that what lies deeper is reached: hashes are put right
 // again where it says so.
 #include <cstdint>
-#include <cstdio>
-#include <cstdlib>
 #include <memory>
 #include <string>
 
+#include "fuzz/require.h"
 #include "store/coding.h"
 #include "store/engine.h"
 #include "store/log.h"
@@ -18,13 +17,9 @@
 using flaxdoor::store::test::Image;
 using flaxdoor::store::test::SimFiles;
 
-namespace {
+using flaxdoor::fuzz::require;
 
-void require(bool holds, const std::string& what) {
-    if (holds) return;
-    std::fprintf(stderr, "broken: %s\n", what.c_str());
-    std::abort();
-}
+namespace {
 
 Engine::Chance counting() {
     auto next = std::make_shared<std::uint64_t>(1);
--- a/tests/http/cases.h
+++ b/tests/http/cases.h
@@ -35,11 +35,4 @@
 inline std::ostream& operator<<(std::ostream& out, const AnswerCase& c) { return out << c.name; }
 std::vector<AnswerCase> answer_cases();
 
-// What the whole balancer must answer to a first request, as tests/net_test.cpp has it.
-struct BadInput {
-    std::string bytes;
-    int status = 0;
-};
-std::vector<BadInput> bad_inputs();
-
 }  // namespace flaxdoor::http::test
--- a/tests/http/client_machine_test.cpp
+++ b/tests/http/client_machine_test.cpp
@@ -4,15 +4,12 @@
 
 #include <gtest/gtest.h>
 
-#include <random>
-
 #include "http/cases.h"
-#include "http/drive.h"
+#include "http/splits.h"
 
 namespace flaxdoor::http::test {
 namespace {
 
-constexpr std::size_t small = 4096;
 constexpr unsigned seed = 20240612;
 const std::string request = "POST /api HTTP/1.1\r\nX-Call-Id: a\r\nContent-Length: 4\r\n\r\nbody";
 
@@ -31,34 +28,9 @@
 }
 
 // Where the split falls right behind the answer, what follows it is unasked: the connection is done as well.
-void expect_same(const Exchange& seen, const Exchange& whole, std::size_t at) {
-    ASSERT_EQ(seen.result, whole.result) << "split at " << at;
-    ASSERT_EQ(seen.full, whole.full) << "split at " << at;
-    ASSERT_EQ(seen.state, whole.state) << "split at " << at;
-    ASSERT_EQ(seen.results, whole.results) << "split at " << at;
-}
-
-TEST_P(AnswersOf, AreTheSameInEveryTwoWaySplit) {
-    const std::string bytes = GetParam().bytes + GetParam().beyond;
-    const Exchange whole = ask({bytes});
-    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
-        expect_same(ask(pieces_of(bytes, {cut})), whole, cut);
-        if (HasFatalFailure()) return;
-    }
-    if (bytes.size() <= small) expect_same(ask(bytes_of(bytes)), whole, 0);
-}
-
-TEST_P(AnswersOf, AreTheSameInThreeWaySplits) {
-    const std::string bytes = GetParam().bytes + GetParam().beyond;
-    RecordProperty("seed", static_cast<int>(seed));
-    std::mt19937 chance(seed);
-    std::uniform_int_distribution<std::size_t> at(0, bytes.size());
-    const Exchange whole = ask({bytes});
-    for (int i = 0; i < 300; ++i) {
-        const auto first = at(chance);
-        expect_same(ask(pieces_of(bytes, {first, at(chance)})), whole, first);
-        if (HasFatalFailure()) FAIL() << "seed " << seed << ", turn " << i;
-    }
+TEST_P(AnswersOf, AreTheSameInEverySplit) {
+    expect_the_same_in_splits(GetParam().bytes + GetParam().beyond, seed,
+                              [](const Pieces& pieces) { return text_of(ask(pieces)); });
 }
 
 // After the request's last byte, whatever ends the exchange: it may have run.
--- a/tests/http/drive.h
+++ b/tests/http/drive.h
@@ -57,6 +57,13 @@
     ServerState state = ServerState::reading;
 };
 
+// All that must be the same for every split.
+inline std::string text_of(const Trace& trace) {
+    std::string text;
+    for (const auto& event : trace.events) text += event + "\n";
+    return text + trace.full + trace.written + std::string(text_of(trace.state));
+}
+
 class ServerDrive {
 public:
     ServerDrive(Answers answers) : answers_(answers) {}
@@ -150,6 +157,11 @@
     int results = 0;                        // for one begin(), without `unasked`
 };
 
+inline std::string text_of(const Exchange& seen) {
+    return seen.result + "\n" + seen.full + "\n" + std::to_string(seen.results) + " results, " +
+           std::string(text_of(seen.state));
+}
+
 // A request of which `handed` bytes are written ahead of the answer's pieces; all by default.
 inline Exchange ask(const Pieces& pieces, End end = End::open, std::size_t handed = std::string::npos,
                     const std::string& request = "GET / HTTP/1.1\r\n\r\n") {
--- a/tests/http/server_machine_test.cpp
+++ b/tests/http/server_machine_test.cpp
@@ -4,10 +4,8 @@
 
 #include <gtest/gtest.h>
 
-#include <random>
-
 #include "http/cases.h"
-#include "http/drive.h"
+#include "http/splits.h"
 
 #if defined(__GLIBC__) && !defined(__SANITIZE_ADDRESS__)
 #include <malloc.h>
@@ -17,7 +15,6 @@
 namespace flaxdoor::http::test {
 namespace {
 
-constexpr std::size_t small = 4096;  // messages up to this size are tried in still more ways
 constexpr unsigned seed = 20240611;
 
 const std::string get = "GET /api HTTP/1.1\r\n\r\n";
@@ -36,6 +33,17 @@
     return event ? std::optional(event->kind) : std::nullopt;
 }
 
+// The machine has taken a request, and waits for its answer.
+void ask(ServerMachine& machine, const std::string& bytes = get) {
+    machine.receive(bytes);
+    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+}
+// All that was to be written goes out, and with it the answer.
+void expect_answered(ServerMachine& machine) {
+    drain(machine);
+    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+}
+
 // What the parts that are whole within the first `n` bytes must give, when their answers wait for the end.
 std::vector<std::string> expected(const RequestCase& c, std::size_t n, bool half_closed) {
     std::vector<std::string> events;
@@ -74,36 +82,13 @@
     }
 }
 
-void expect_same(const Trace& trace, const Trace& whole, std::size_t at) {
-    ASSERT_EQ(trace.events, whole.events) << "split at " << at;
-    ASSERT_EQ(trace.full, whole.full) << "split at " << at;
-    ASSERT_EQ(trace.written, whole.written) << "split at " << at;
-    ASSERT_EQ(trace.state, whole.state) << "split at " << at;
-}
-
-TEST_P(Requests, AreTheSameInEveryTwoWaySplit) {
+TEST_P(Requests, AreTheSameInEverySplit) {
     const std::string bytes = GetParam().bytes();
     for (const auto answers : {Answers::at_once, Answers::at_the_end}) {
-        const Trace whole = serve({bytes}, answers);
-        for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
-            expect_same(serve(pieces_of(bytes, {cut}), answers), whole, cut);
-            if (HasFatalFailure()) return;
-        }
-        if (bytes.size() > small) return;  // the one that answers at once does, for the rest is the same
-        expect_same(serve(bytes_of(bytes), answers), whole, 0);
-    }
-}
-
-TEST_P(Requests, AreTheSameInThreeWaySplits) {
-    const std::string bytes = GetParam().bytes();
-    RecordProperty("seed", static_cast<int>(seed));
-    std::mt19937 chance(seed);
-    std::uniform_int_distribution<std::size_t> at(0, bytes.size());
-    const Trace whole = serve({bytes});
-    for (int i = 0; i < 300; ++i) {
-        const auto first = at(chance);
-        expect_same(serve(pieces_of(bytes, {first, at(chance)})), whole, first);
-        if (HasFatalFailure()) FAIL() << "seed " << seed << ", turn " << i;
+        if (answers == Answers::at_the_end && bytes.size() > small) break;  // the other shows it
+        expect_the_same_in_splits(bytes, seed,
+                                  [&](const Pieces& pieces) { return text_of(serve(pieces, answers)); });
+        if (HasFatalFailure()) return;
     }
 }
 
@@ -147,34 +132,26 @@
         S to;
     };
     const std::vector<Row> rows = {
-        {S::reading, G::request_taken, S::waiting},
-        {S::reading, G::request_refused, S::writing},
-        {S::reading, G::peer_done, S::over},
-        {S::waiting, G::answer_given, S::writing},
-        {S::writing, G::answer_written, S::reading},
-        {S::writing, G::last_answer_written, S::lingering},
-        {S::lingering, G::peer_done, S::over},
-        {S::lingering, G::enough_dropped, S::over},
-        {S::reading, G::broken, S::over},
-        {S::waiting, G::broken, S::over},
-        {S::writing, G::broken, S::over},
-        {S::lingering, G::broken, S::over},
+        {S::reading, G::request_taken, S::waiting},  {S::reading, G::request_refused, S::writing},
+        {S::reading, G::peer_done, S::over},         {S::waiting, G::answer_given, S::writing},
+        {S::writing, G::answer_written, S::reading}, {S::writing, G::last_answer_written, S::lingering},
+        {S::lingering, G::peer_done, S::over},       {S::lingering, G::enough_dropped, S::over},
     };
     for (const S from : {S::reading, S::waiting, S::writing, S::lingering, S::over}) {
         for (const G signal : {G::request_taken, G::request_refused, G::answer_given, G::answer_written,
                                G::last_answer_written, G::peer_done, G::enough_dropped, G::broken}) {
-            S to = from;
+            S to = signal == G::broken ? S::over : from;
             for (const auto& row : rows) {
                 if (row.from == from && row.signal == signal) to = row.to;
             }
             EXPECT_EQ(after(from, signal), to) << text_of(from) << ", signal " << static_cast<int>(signal);
         }
     }
-    EXPECT_EQ(text_of(S::reading), "reading");
-    EXPECT_EQ(text_of(S::waiting), "waiting");
-    EXPECT_EQ(text_of(S::writing), "writing");
-    EXPECT_EQ(text_of(S::lingering), "lingering");
-    EXPECT_EQ(text_of(S::over), "over");
+    std::string names;
+    for (const S state : {S::reading, S::waiting, S::writing, S::lingering, S::over}) {
+        names.append(text_of(state)).append(" ");
+    }
+    EXPECT_EQ(names, "reading waiting writing lingering over ");
 }
 
 // ------------------------------------------------------------------------------------------------- answers
@@ -184,8 +161,7 @@
     EXPECT_TRUE(machine.between());
     EXPECT_FALSE(machine.served());
     EXPECT_FALSE(machine.answer(served()));
-    machine.receive(get);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine);
     EXPECT_EQ(machine.state(), ServerState::waiting);
     EXPECT_FALSE(machine.between());
     Response response = served("x\r\ny");
@@ -228,25 +204,21 @@
               ServerState::lingering},
          }) {
         ServerMachine machine;
-        machine.receive(request);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+        ask(machine, request);
         EXPECT_TRUE(machine.answer(served(), last));
         EXPECT_EQ(machine.output(),
                   "HTTP/1.1 200 OK\r\n" + std::string(told) + "Content-Length: 6\r\n\r\nserved");
-        drain(machine);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+        expect_answered(machine);
         EXPECT_EQ(machine.state(), state) << request;
     }
 }
 
 TEST(ServerAnswers, ToHeadHaveNoBody) {
     ServerMachine machine;
-    machine.receive("HEAD /ready HTTP/1.1\r\n\r\n" + get);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine, "HEAD /ready HTTP/1.1\r\n\r\n" + get);
     EXPECT_TRUE(machine.answer(served()));
     EXPECT_EQ(machine.output(), "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
-    drain(machine);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+    expect_answered(machine);
     EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
     EXPECT_TRUE(machine.answer(served()));
     EXPECT_TRUE(machine.output().ends_with("\r\n\r\nserved"));
@@ -257,14 +229,12 @@
     for (const bool ends : {true, false}) {
         ServerMachine machine(1000);
         EXPECT_FALSE(machine.turn_away(404));
-        machine.receive(get + get);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+        ask(machine, get + get);
         EXPECT_TRUE(machine.turn_away(409, "this X-Call-Id is open"));
         EXPECT_EQ(machine.output(),
                   "HTTP/1.1 409 Conflict\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: "
                   "23\r\n\r\nthis X-Call-Id is open\n");
-        drain(machine);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+        expect_answered(machine);
         EXPECT_EQ(kind_of(machine), std::nullopt);
         EXPECT_EQ(machine.state(), ServerState::lingering);
         EXPECT_TRUE(machine.wants_read());
@@ -309,8 +279,7 @@
     EXPECT_EQ(kind_of(machine), std::nullopt);
     EXPECT_EQ(machine.output(), "HTTP/1.1 100 Continue\r\n\r\n");
     machine.wrote(10);  // the rest of it must not be lost when the answer follows
-    machine.receive("body");
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine, "body");
     EXPECT_TRUE(machine.answer(served()));
     EXPECT_EQ(machine.output(), "00 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved");
     // The next request has its own.
@@ -338,8 +307,7 @@
         EXPECT_EQ(kind_of(machine), std::nullopt);
         EXPECT_TRUE(machine.answer(served()));
         EXPECT_NE(machine.output().find("served"), std::string_view::npos);
-        drain(machine);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+        expect_answered(machine);
     }
     EXPECT_EQ(kind_of(machine), std::nullopt);
     EXPECT_EQ(machine.state(), ServerState::over);
@@ -347,14 +315,12 @@
 
 TEST(ServerHalfClosed, LastAnswerSaysSo) {
     ServerMachine machine;
-    machine.receive(get);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine);
     machine.receive_end();
     EXPECT_EQ(kind_of(machine), ServerEvent::Kind::half_closed);
     EXPECT_TRUE(machine.answer(served()));
     EXPECT_NE(machine.output().find("Connection: close\r\n"), std::string_view::npos);
-    drain(machine);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+    expect_answered(machine);
     EXPECT_EQ(machine.state(), ServerState::over);
 }
 
@@ -362,15 +328,13 @@
 TEST(ServerHalfClosed, WhileTheAnswerIsWritten) {
     for (const bool last : {true, false}) {
         ServerMachine machine;
-        machine.receive(get);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+        ask(machine);
         EXPECT_TRUE(machine.answer(served(), last));
         machine.wrote(5);
         machine.receive_end();
         EXPECT_EQ(kind_of(machine), std::nullopt);
         EXPECT_EQ(machine.state(), ServerState::writing);
-        drain(machine);
-        EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+        expect_answered(machine);
         EXPECT_EQ(kind_of(machine), std::nullopt);
         EXPECT_EQ(machine.state(), ServerState::over);
     }
@@ -379,8 +343,7 @@
 TEST(ServerHalfClosed, InterimProbesWhoeverKnowsIt) {
     ServerMachine machine;
     EXPECT_FALSE(machine.interim());
-    machine.receive(get);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine);
     EXPECT_TRUE(machine.interim());  // the owner may know of an end that is still unread
     machine.receive_end();
     EXPECT_TRUE(machine.interim());  // one at a time
@@ -393,8 +356,7 @@
     EXPECT_TRUE(machine.output().starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"));
     EXPECT_FALSE(machine.interim());
     ServerMachine old;
-    old.receive("GET / HTTP/1.0\r\n\r\n");
-    EXPECT_EQ(kind_of(old), ServerEvent::Kind::request);
+    ask(old, "GET / HTTP/1.0\r\n\r\n");
     old.receive_end();
     EXPECT_FALSE(old.interim());
     EXPECT_TRUE(old.output().empty());
@@ -440,21 +402,18 @@
 
 TEST(ServerBounds, WhatFollowsALastAnswerIsDropped) {
     ServerMachine machine;
-    machine.receive(get);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine);
     EXPECT_TRUE(machine.answer(served(), true));
     while (machine.wants_read()) machine.receive(std::string(8192, 'x'));
     EXPECT_EQ(machine.state(), ServerState::writing);
-    drain(machine);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+    expect_answered(machine);
     EXPECT_EQ(machine.state(), ServerState::lingering);
     EXPECT_TRUE(machine.wants_read());
 }
 
 TEST(ServerBounds, ResetEndsIt) {
     ServerMachine machine;
-    machine.receive(get + get);
-    EXPECT_EQ(kind_of(machine), ServerEvent::Kind::request);
+    ask(machine, get + get);
     machine.reset();
     EXPECT_EQ(machine.state(), ServerState::over);
     EXPECT_FALSE(machine.answer(served()));
@@ -482,8 +441,7 @@
                 machine.receive(piece);
                 if (kind_of(machine) != ServerEvent::Kind::request) continue;
                 EXPECT_TRUE(machine.answer(served(std::string(60000, 'y'))));
-                drain(machine);
-                EXPECT_EQ(kind_of(machine), ServerEvent::Kind::answered);
+                expect_answered(machine);
                 EXPECT_EQ(kind_of(machine), std::nullopt);
             }
         }
