--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -1,13 +1,16 @@
 #!/bin/sh
 # Builds the fuzz targets with clang++ and runs each for SECONDS (10), starting from the suite's messages (the store's
 # from nothing: its target begins with a good store; PostgreSQL's from found/pg, the gateway's from found/gateway) and from what was found before (found/). What breaks one is left in the build folder as TARGET-crash-*.
-# usage: run.sh [SECONDS]
+# With a build folder as second argument, runs the targets that are built there already (the suite's sanitized build).
+# usage: run.sh [SECONDS [BUILD]]
 set -eu
 cd "$(dirname "$0")/../.."
 seconds=${1:-10}
-build=build-fuzz
-cmake -S . -B "$build" -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DFLAXDOOR_FUZZ=ON -DFLAXDOOR_WERROR=ON
-cmake --build "$build" -j2 --target fuzz_corpus fuzz_requests fuzz_answers fuzz_store fuzz_pg fuzz_gateway
+build=${2:-build-fuzz}
+if [ $# -lt 2 ]; then
+    cmake -S . -B "$build" -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DFLAXDOOR_FUZZ=ON -DFLAXDOOR_WERROR=ON
+    cmake --build "$build" -j"${JOBS:-$(nproc)}" --target fuzz_corpus fuzz_requests fuzz_answers fuzz_store fuzz_pg fuzz_gateway
+fi
 "$build/tests/fuzz/fuzz_corpus" "$build/corpus"
 
 # fuzz TARGET MOST_BYTES [OPTION...]: starts from what was found before, and from what earlier runs have grown.
