--- a/tests/library/middleware_test.cpp
+++ b/tests/library/middleware_test.cpp
@@ -44,7 +44,7 @@
     }
 };
 
-// ------------------------------------------------------------------------------------------------ departures
+// ---- departures
 
 class Leaving : public testing::TestWithParam<bool> {
 protected:
@@ -70,42 +70,29 @@
     EXPECT_EQ(s.balancer().figures().taken, 0U);
 }
 
-// The attempt is given up; it may have run, so it is not sent again.
-TEST_P(Leaving, BeforeTheAnswer) {
+// The attempt is given up, also amid its answer; it may have run, so it is not sent again.
+TEST_P(Leaving, BeforeItsAnswer) {
     for (const bool safe : {true, false}) {
-        Site s;
-        s.start();
-        const auto client = s.client();
-        client->say(safe ? s.look(60000) : s.once(60000));
-        const auto wire = s.request().first;
-        leave(*client);
-        s.until([&] { return wire->ended; });
-        s.expect_left(1);
-        s.settle();
-        EXPECT_EQ(s.connections(), 1U);
+        for (const bool half : {true, false}) {
+            Site s;
+            const auto client = s.start_with_client();
+            const auto wire = s.send(*client, safe ? s.look(60000) : s.once(60000));
+            if (half) wire->say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+            s.settle();
+            leave(*client);
+            s.until([&] { return wire->ended; });
+            s.expect_left(1);
+            EXPECT_TRUE(s.nothing_sent());
+            EXPECT_EQ(s.connections(), 1U);
+        }
     }
 }
 
-TEST_P(Leaving, AmidTheNodesAnswer) {
-    Site s;
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(60000));
-    const auto wire = s.request().first;
-    wire->say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
-    s.settle();
-    leave(*client);
-    s.until([&] { return wire->ended; });
-    s.expect_left(1);
-    EXPECT_TRUE(s.nothing_sent());
-}
-
 // It has not been sent yet: no node takes connections. Nothing of it comes to one that does later.
 TEST_P(Leaving, WhileNoNodeTakesIt) {
     Site s(HostPlan{}, 1);
     s.upstreams[0]->close();
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(60000));
     s.figures([](const BalancerFigures& now) { return now.attempts > 0; });
     leave(*client);
@@ -116,19 +103,13 @@
 // Behind one that is being served: that one is given up, and the one behind it never sent.
 TEST_P(Leaving, WithAnotherRequestBehind) {
     Site s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(60000, "body", "first") + s.once(60000, "body", "second"));
     const auto [wire, request] = s.request();
     EXPECT_EQ(header(request, "X-Call-Id"), "first");
-    if (GetParam()) {
-        // RESTinio does not look at a connection whose pipeline is full: it hears of the end with the answer.
-        leave(*client);
-        wire->say(ok());
-    } else {
-        leave(*client);
-        wire->say(ok());
-    }
+    // RESTinio does not look at a connection whose pipeline is full: it hears of the end with the answer.
+    leave(*client);
+    wire->say(ok());
     s.figures([](const BalancerFigures& now) { return now.open == 0 && now.taken >= 1; });
     s.settle();
     s.drink();
@@ -145,10 +126,8 @@
 // The answer is on its way: nothing is left open, nothing sent again.
 TEST_P(Leaving, AmidItsAnswer) {
     Site s(HostPlan{}, 1);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(60000));
-    const auto wire = s.request().first;
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.once(60000));
     Hosted& host = dynamic_cast<Hosted&>(*s.form);
     host.hold();
     wire->say(ok(std::string(64 * 1024, 'x')));
@@ -157,25 +136,20 @@
     s.figures([](const BalancerFigures& now) { return now.open == 0 && now.served + now.left == 1; });
     EXPECT_TRUE(s.nothing_sent());
     const auto next = s.client();
-    next->say(s.look());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*next)), 200);
+    s.serve(*next);
 }
 
-// ------------------------------------------------------------------------------------------------
-// half-closes
+// ---- half-closes
 
 TEST(HalfClose, IsAnsweredAndThenClosed) {
     Site s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(60000));
     client->end_sending();
     const auto wire = s.request().first;
     s.settle();
     EXPECT_FALSE(wire->ended);
-    wire->say(ok("after all"));
-    EXPECT_EQ(body(s.answer(*client)), "after all");
+    s.pass(*wire, *client, "after all");
     s.until([&] { return client->ended; });
     EXPECT_EQ(client->in, "");
     EXPECT_EQ(s.figures([](const BalancerFigures& now) { return now.served == 1; }).left, 0U);
@@ -184,8 +158,7 @@
 // An old client knows no interim answers: it gets none.
 TEST(HalfClose, OfAnOldClientIsAnsweredAndNoMore) {
     Site s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     std::string request = s.look(60000);
     request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
     client->say(request);
@@ -198,39 +171,19 @@
 
 TEST(HalfClose, BetweenRequestsEndsTheConnection) {
     Site s;
-    s.start();
-    const auto client = s.client();
-    client->say(s.look());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto client = s.start_with_client();
+    s.serve(*client);
     client->end_sending();
     s.until([&] { return client->ended; });
     EXPECT_EQ(client->in, "");
 }
 
-// ------------------------------------------------------------------------------------------------ pipelines
-
-TEST(Pipelined, AreServedInTurn) {
-    Site s;
-    s.start();
-    const auto client = s.client();
-    std::string all;
-    for (const char* id : {"one", "two", "three", "four", "five"}) all += s.once(60000, "body", id);
-    client->say(all);
-    for (const char* id : {"one", "two", "three", "four", "five"}) {
-        const auto [wire, request] = s.request();
-        EXPECT_EQ(header(request, "X-Call-Id"), id);
-        EXPECT_TRUE(s.nothing_sent());
-        wire->say(ok(id));
-        EXPECT_EQ(body(s.answer(*client)), id);
-    }
-}
+// ---- pipelines
 
 // What comes behind a request that ends its connection is none.
 TEST(Pipelined, NothingBehindTheLastOne) {
     Site s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     std::string last = s.once(60000, "body", "last");
     last.insert(last.find("Content-Length"), "Connection: close\r\n");
     client->say(last + s.once(60000, "body", "behind"));
@@ -248,25 +201,21 @@
 // The same where it is the answer that ends it: whoever sent what can't be understood would send it again.
 TEST(Pipelined, NothingBehindOneThatIsTurnedAway) {
     Site s;
-    s.start();
-    const auto client = s.client();
-    client->say("GET /api HTTP/1.1\r\nHost: x\r\n\r\n" + s.once(60000));
-    EXPECT_EQ(status(s.answer(*client)), 400);
+    const auto client = s.start_with_client();
+    EXPECT_EQ(status(s.ask(*client, "GET /api HTTP/1.1\r\nHost: x\r\n\r\n" + s.once(60000))), 400);
     s.until([&] { return client->ended; });
     EXPECT_TRUE(s.nothing_sent());
 }
 
-// ------------------------------------------------------------------------------------------------ bodies
+// ---- bodies
 
 // It is told so, and the answer is not lost by all that is still on its way.
 TEST(Bodies, TooLargeIsTold) {
     Site s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     std::string behind;
     while (behind.size() < 100000) behind += s.look(60000);
-    client->say(s.once(60000, std::string(65537, 'x')) + behind);
-    EXPECT_EQ(status(s.answer(*client)), 413);
+    EXPECT_EQ(status(s.ask(*client, s.once(60000, std::string(65537, 'x')) + behind)), 413);
     s.until([&] { return client->ended; });
     EXPECT_TRUE(s.nothing_sent());
 }
@@ -274,8 +223,7 @@
 // Larger than the server reads: RESTinio ends the connection, and nothing was sent on.
 TEST(Bodies, FarTooLargeEndsTheConnection) {
     Site s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(60000, std::string(300000, 'x')));
     s.until([&] { return client->ended; });
     EXPECT_TRUE(s.nothing_sent());
@@ -301,8 +249,7 @@
         EXPECT_EQ(body(got), "0123456789");
         EXPECT_EQ(header(got, "Content-Length"), "10");
         EXPECT_EQ(header(got, "Transfer-Encoding"), "");
-        wire->say(ok());
-        EXPECT_EQ(status(s.answer(*client)), 200);
+        s.pass(*wire, *client);
     }
 }
 
@@ -328,8 +275,7 @@
     }
 }
 
-// --------------------------------------------------------------------------------------- the application
-// beside
+// ---- the application beside
 
 TEST(Application, HasAllOtherPaths) {
     HostPlan plan;
@@ -337,17 +283,12 @@
         return request->create_response().set_body("app " + request->header().request_target()).done();
     };
     Site s(plan);
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     for (const std::string target : {"/", "/apis", "/api.html", "/readiness", "/x/api", "/ready/x"}) {
-        client->say("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
-        EXPECT_EQ(body(s.answer(*client)), "app " + target);
+        EXPECT_EQ(body(s.ask(*client, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n")), "app " + target);
     }
-    client->say(s.look());
-    s.request().first->say(ok("node's"));
-    EXPECT_EQ(body(s.answer(*client)), "node's");
-    client->say(ready);
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.serve(*client, s.look(), "node's");
+    EXPECT_EQ(status(s.ask(*client, ready)), 200);
     client->say("GET /api/below HTTP/1.1\r\nHost: x\r\n\r\n");  // the mount's, and none that nodes have
     EXPECT_EQ(status(s.answer(*client)), 404);
 }
@@ -359,10 +300,8 @@
         throw std::runtime_error("of the application");
     };
     Site s(plan);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(60000));
-    const auto wire = s.request().first;
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.once(60000));
     for (int i = 0; i < 3; ++i) {
         const auto other = s.client();
         other->say("GET /page HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -370,78 +309,55 @@
     }
     // On a connection of a balanced call it takes that with it: the call is given up, and not sent again.
     const auto both = s.client();
-    both->say(s.once(60000));
-    const auto second = s.request().first;
+    const auto second = s.send(*both, s.once(60000));
     both->say("GET /page HTTP/1.1\r\nHost: x\r\n\r\n");
     EXPECT_EQ(s.answer(*both), "");
     s.until([&] { return second->ended; });
-    wire->say(ok("none the worse"));
-    EXPECT_EQ(body(s.answer(*client)), "none the worse");
+    s.pass(*wire, *client, "none the worse");
     EXPECT_TRUE(s.nothing_sent());
     s.expect_left(1);
 }
 
 // A handler that blocks holds up its own loop. What it must not be is the balancer's: with RESTinio on a loop
-// of its own, calls get on; their answers are written once that loop is free.
+// of its own, calls get on, and their answers are written once that loop is free. On one loop it holds up
+// all: the balancer sees neither answers nor deadlines meanwhile. What was asked is still answered once, and
+// nothing is sent twice.
 TEST(Application, ThatIsSlowHoldsOnlyItsOwnLoop) {
-    HostPlan plan;
-    plan.server_thread = true;
-    auto free = std::make_shared<std::promise<void>>();
-    auto blocked = std::make_shared<std::promise<void>>();
-    plan.application = [blocked,
-                        until = free->get_future().share()](const restinio::request_handle_t& request) {
-        blocked->set_value();
-        until.wait();
-        return request->create_response().set_body("slow").done();
-    };
-    Site s(plan);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(60000));
-    const auto first = s.request().first;
-    const auto slow = s.client();
-    slow->say("GET /page HTTP/1.1\r\nHost: x\r\n\r\n");
-    blocked->get_future().wait();
-    // It goes on to another node and is served while the server's loop stands still.
-    first->say("HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
-    s.request().first->say(ok("in time"));
-    s.figures([](const BalancerFigures& now) { return now.served == 1 && now.attempts == 2; });
-    EXPECT_TRUE(client->in.empty());
-    free->set_value();
-    EXPECT_EQ(body(s.answer(*client)), "in time");
-    EXPECT_EQ(body(s.answer(*slow)), "slow");
-}
-
-// On one loop it holds up all: the balancer sees neither answers nor deadlines meanwhile. What was asked is
-// still answered once, and nothing is sent twice.
-TEST(Application, ThatIsSlowOnTheOneLoopHoldsAll) {
-    auto free = std::make_shared<std::promise<void>>();
-    auto blocked = std::make_shared<std::promise<void>>();
-    HostPlan plan;
-    plan.application = [blocked,
-                        until = free->get_future().share()](const restinio::request_handle_t& request) {
-        blocked->set_value();
-        until.wait();
-        return request->create_response().set_body("slow").done();
-    };
-    Site s(plan);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(60000));
-    const auto wire = s.request().first;
-    const auto slow = s.client();
-    slow->say("GET /page HTTP/1.1\r\nHost: x\r\n\r\n");
-    blocked->get_future().wait();
-    wire->say(ok("late"));
-    s.drink();
-    EXPECT_TRUE(client->in.empty());
-    free->set_value();
-    EXPECT_EQ(body(s.answer(*client)), "late");
-    EXPECT_EQ(body(s.answer(*slow)), "slow");
-    EXPECT_TRUE(s.nothing_sent());
+    for (const bool own_loop : {true, false}) {
+        auto free = std::make_shared<std::promise<void>>();
+        auto blocked = std::make_shared<std::promise<void>>();
+        HostPlan plan;
+        plan.server_thread = own_loop;
+        plan.application = [blocked,
+                            until = free->get_future().share()](const restinio::request_handle_t& request) {
+            blocked->set_value();
+            until.wait();
+            return request->create_response().set_body("slow").done();
+        };
+        Site s(plan);
+        const auto client = s.start_with_client();
+        const auto first = s.send(*client, s.once(60000));
+        const auto slow = s.client();
+        slow->say("GET /page HTTP/1.1\r\nHost: x\r\n\r\n");
+        blocked->get_future().wait();
+        if (own_loop) {
+            // It goes on to another node and is served while the server's loop stands still.
+            first->say("HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
+            s.request().first->say(ok("the answer"));
+            s.figures([](const BalancerFigures& now) { return now.served == 1 && now.attempts == 2; });
+        } else {
+            first->say(ok("the answer"));
+            s.drink();
+        }
+        EXPECT_TRUE(client->in.empty());
+        free->set_value();
+        EXPECT_EQ(body(s.answer(*client)), "the answer");
+        EXPECT_EQ(body(s.answer(*slow)), "slow");
+        EXPECT_TRUE(s.nothing_sent());
+    }
 }
 
-// ------------------------------------------------------------------------------------------------ mounts
+// ---- mounts
 
 // Two paths of one mount, and two mounts of one server: nodes have one path, whatever the clients call it.
 TEST(Mounts, EachPathLeadsToTheNodes) {
@@ -454,26 +370,23 @@
             plan.mounts.push_back({{"/booking"}, "/booking-ready", 16});
         }
         Site s(plan);
-        s.start();
-        const auto client = s.client();
+        const auto client = s.start_with_client();
         for (const std::string path : {"/api", "/booking"}) {
             std::string request = s.look(60000);
             request.replace(request.find("/api"), 4, path);
             client->say(request);
             const auto [wire, got] = s.request();
             EXPECT_TRUE(got.starts_with("GET /api?q=1 HTTP/1.1\r\n")) << got;
-            wire->say(ok(path));
-            EXPECT_EQ(body(s.answer(*client)), path);
+            s.pass(*wire, *client, path);
         }
-        client->say(std::string("GET /booking-ready HTTP/1.1\r\nHost: x\r\n\r\n"));
-        EXPECT_EQ(status(s.answer(*client)), one_mount ? 404 : 200);
+        EXPECT_EQ(status(s.ask(*client, std::string("GET /booking-ready HTTP/1.1\r\nHost: x\r\n\r\n"))),
+                  one_mount ? 404 : 200);
         // Each hears of the departure of a client that it serves.
         for (const std::string path : {"/api", "/booking"}) {
             const auto leaves = s.client();
             std::string request = s.look(60000);
             request.replace(request.find("/api"), 4, path);
-            leaves->say(request);
-            const auto wire = s.request().first;
+            const auto wire = s.send(*leaves, request);
             leaves->close();
             s.until([&] { return wire->ended; });
         }
@@ -485,6 +398,11 @@
 class Told : public testing::Test {
 protected:
     Told() {
+        balancer_.emplace(loop_.get_executor(), options());
+        mount_.emplace(loop_.get_executor(), *balancer_);
+    }
+
+    BalancerOptions options() const {
         BalancerOptions options;
         options.settings.classes = {{.name = "once",
                                      .aim = std::chrono::milliseconds(100),
@@ -496,10 +414,8 @@
         options.zones = {"here"};
         options.servers.servers = {
             {.name = "s-0", .address = text_of(node_.address()), .zone = "here", .kind = "any"}};
-        balancer_.emplace(loop_.get_executor(), options);
-        mount_.emplace(loop_.get_executor(), *balancer_);
+        return options;
     }
-
     middleware::ClientRequest request(middleware::Connection connection, const std::string& id) {
         middleware::ClientRequest r;
         r.connection = connection;
@@ -521,7 +437,12 @@
             loop_.run_one_for(std::chrono::milliseconds(50));
         }
     }
-    // The n-th whole request that came to the node, on whichever connection.
+    void until_quiet() {
+        bool quiet = false;
+        mount_->when_quiet([&] { quiet = true; });
+        until([&] { return quiet; });
+    }
+    // The whole request of that id that came to the node, on whichever connection.
     std::shared_ptr<Wire> at_node(const std::string& id) {
         std::shared_ptr<Wire> at;
         until([&] {
@@ -572,9 +493,7 @@
         return loop_.poll_one() == 0 || ended == 0 || !answers_.empty();
     });
     mount_->left(7);
-    bool quiet = false;
-    mount_->when_quiet([&] { quiet = true; });
-    until([&] { return quiet; });
+    until_quiet();
     EXPECT_LE(answers_.size(), 1U);
     EXPECT_TRUE(wire->in.empty());
 }
@@ -586,9 +505,7 @@
     until([&] { return answers_.size() == 1; });
     EXPECT_EQ(answers_, (Answers{{"c17", 503}}));
     mount_->left(7);
-    bool quiet = false;
-    mount_->when_quiet([&] { quiet = true; });
-    until([&] { return quiet; });
+    until_quiet();
     EXPECT_EQ(answers_.size(), 1U);
 }
 
@@ -609,13 +526,7 @@
 TEST_F(Told, ClosedAfterItWentOutIsNoRefusal) {
     for (const bool destroyed : {false, true}) {
         SCOPED_TRACE(destroyed);
-        std::optional<Balancer> other;
-        BalancerOptions options;
-        options.settings.classes = {
-            {.name = "once", .aim = std::chrono::seconds(1), .deadline = std::chrono::seconds(60)}};
-        options.zones = {"here"};
-        options.servers.servers = {{.name = "s-0", .address = text_of(node_.address()), .zone = "here"}};
-        other.emplace(loop_.get_executor(), options);
+        std::optional<Balancer> other(std::in_place, loop_.get_executor(), options());
         std::vector<std::pair<int, bool>> told;
         const auto serve = [&](const std::string& id) {
             other->async_serve(request(0, id).request, [&](HttpAnswer answer) {
@@ -641,10 +552,7 @@
 // begins.
 TEST_F(Told, GoneWhileARequestIsOnItsWay) {
     alignas(Balancer) std::array<std::byte, sizeof(Balancer)> room;
-    BalancerOptions options;
-    options.settings.classes = {
-        {.name = "once", .aim = std::chrono::seconds(1), .deadline = std::chrono::seconds(60)}};
-    auto* const balancer = new (room.data()) Balancer(loop_.get_executor(), options);
+    auto* const balancer = new (room.data()) Balancer(loop_.get_executor(), options());
     auto mount = std::make_unique<middleware::Mount>(loop_.get_executor(), *balancer);
     bool answered = false;
     mount->serve(request(7, "a"), [&](HttpAnswer, const std::shared_ptr<void>&) { answered = true; });
@@ -676,38 +584,32 @@
 
 // A framework's reader may let through what the listener's does not: it is turned away, not sent on.
 TEST_F(Told, WhatNoMessageMayHoldIsTurnedAway) {
-    const std::vector<std::pair<std::string, std::string>> fields = {
-        {"X-A", "b\r\nX-Call-Id: z"},
-        {"X-A", std::string("b\0c", 3)},
-        {"X A", "b"},
-        {"", "b"},
-        {"Content-Length ", "0"},
-        {"X-A:", "b"},
-        {"X-A\r\nX-B", "c"},
-        {"Transfer-Encoding", "identity"},
-        {"X-Long", std::string(17000, 'x')},
-    };
-    int n = 0;
-    for (const auto& field : fields) {
-        auto r = request(static_cast<middleware::Connection>(++n), "a");
-        r.request.headers.push_back(field);
-        serve(std::move(r));
-    }
-    for (const std::string target : {"/api?x y", "/api?x\r\nX-B: c", "/api?\x7f"}) {
-        auto r = request(static_cast<middleware::Connection>(++n), "a");
-        r.request.target = target;
-        serve(std::move(r));
-    }
-    for (const std::string method : {"", "PO ST", "POST /x HTTP/1.1\r\n"}) {
+    std::size_t n = 0;
+    const auto bad = [&](auto change) {
         auto r = request(static_cast<middleware::Connection>(++n), "a");
-        r.request.method = method;
+        change(r.request);
         serve(std::move(r));
+    };
+    for (const auto& field :
+         std::vector<std::pair<std::string, std::string>>{{"X-A", "b\r\nX-Call-Id: z"},
+                                                          {"X-A", std::string("b\0c", 3)},
+                                                          {"X A", "b"},
+                                                          {"", "b"},
+                                                          {"Content-Length ", "0"},
+                                                          {"X-A:", "b"},
+                                                          {"X-A\r\nX-B", "c"},
+                                                          {"Transfer-Encoding", "identity"},
+                                                          {"X-Long", std::string(17000, 'x')}}) {
+        bad([&](HttpRequest& r) { r.headers.push_back(field); });
     }
-    auto twice = request(static_cast<middleware::Connection>(++n), "a");
-    twice.request.headers.insert(twice.request.headers.end(),
-                                 {{"Content-Length", "4"}, {"Content-Length", "5"}});
-    serve(std::move(twice));
-    until([&] { return answers_.size() == static_cast<std::size_t>(n); });
+    for (const char* target : {"/api?x y", "/api?x\r\nX-B: c", "/api?\x7f"})
+        bad([&](HttpRequest& r) { r.target = target; });
+    for (const char* method : {"", "PO ST", "POST /x HTTP/1.1\r\n"})
+        bad([&](HttpRequest& r) { r.method = method; });
+    bad([](HttpRequest& r) {
+        r.headers.insert(r.headers.end(), {{"Content-Length", "4"}, {"Content-Length", "5"}});
+    });
+    until([&] { return answers_.size() == n; });
     for (const auto& [id, told] : answers_) EXPECT_EQ(told, 400);
     EXPECT_TRUE(node_.wires.empty());
 }
--- a/tests/suite/configuration_test.cpp
+++ b/tests/suite/configuration_test.cpp
@@ -27,10 +27,9 @@
     Stage s;
     Listener other(s.loop);
     s.start();
-    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    const auto watch = s.watch();
     const auto client = s.client();
-    client->say(s.look());
-    const auto wire = s.request().first;
+    const auto wire = s.send(*client, s.look());
     for (const char* broken : {"{\"settings\":", "", "[]", "{}"}) {
         const auto lines = s.form->log().size();
         s.form->take(broken);
@@ -39,13 +38,11 @@
         EXPECT_EQ(s.form->log().size(), lines + 1) << broken;
         EXPECT_TRUE(s.form->log()[lines].starts_with("the old configuration stays: ")) << broken;
     }
-    EXPECT_FALSE(s.discovery.wires[0]->ended);
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    EXPECT_FALSE(watch->ended);
+    s.pass(*wire, *client);
     s.config["discovery"] = text_of(other.address());
     s.take();
-    s.until([&] { return !other.wires.empty() && has(other.wires[0]->in, "\r\n\r\n"); });
-    EXPECT_TRUE(has(other.wires[0]->in, "index=7 "));
+    EXPECT_TRUE(has(s.watch(other)->in, "index=7 "));
 }
 
 }  // namespace
--- a/tests/suite/drain_test.cpp
+++ b/tests/suite/drain_test.cpp
@@ -4,38 +4,17 @@
 namespace flaxdoor::test {
 namespace {
 
-// Until nobody new is taken: from then on it winds down.
-void until_refused(Stage& s, int where = __builtin_LINE()) {
-    bool refused = false;
-    asio::steady_timer pace(s.loop);
-    const std::function<void()> knock = [&] {
-        const auto client = s.try_client();
-        refused = client == nullptr;
-        if (refused) return;
-        client->close();
-        pace.expires_after(std::chrono::milliseconds(20));
-        pace.async_wait([&](boost::system::error_code error) {
-            if (!error) knock();
-        });
-    };
-    knock();
-    s.until([&] { return refused; }, where);
-}
-
 // Requests are still taken for a while, on old connections and on new ones; then what is held is answered,
 // with the connection's end told, and the balancer ends.
 TEST(Drain, ServesWhatComesAndThenEnds) {
     Stage s;
     s.start();
     const auto held = s.client();
-    held->say(s.once());
-    const auto wire = s.request().first;
+    const auto wire = s.send(*held, s.once());
     s.form->end();
     const auto late = s.client();
-    late->say(s.once());
-    s.request().first->say(ok("late"));
-    EXPECT_EQ(body(s.answer(*late)), "late");
-    until_refused(s);
+    s.serve(*late, s.once(), "late");
+    s.until_refused();
     wire->say(ok("held"));
     const auto answer = s.answer(*held);
     EXPECT_EQ(body(answer), "held");
@@ -52,15 +31,12 @@
     s.start();
     const auto idle = s.client();
     const auto held = s.client();
-    idle->say(ready);
-    EXPECT_EQ(status(s.answer(*idle)), 200);
-    held->say(s.once());
-    const auto wire = s.request().first;
+    EXPECT_EQ(status(s.ask(*idle, ready)), 200);
+    const auto wire = s.send(*held, s.once());
     s.form->end();
     s.until([&] { return idle->ended; });
     EXPECT_FALSE(held->ended);
-    wire->say(ok("held"));
-    EXPECT_EQ(body(s.answer(*held)), "held");
+    s.pass(*wire, *held, "held");
     held->close();
     s.until_ended();
 }
@@ -68,16 +44,13 @@
 // A request that is only half here when nobody new is taken any more is still taken and answered.
 TEST(Drain, WaitsForARequestThatIsComing) {
     Stage s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     const auto request = s.once();
     client->say(request.substr(0, 30));
     s.form->end();
-    until_refused(s);
+    s.until_refused();
     EXPECT_FALSE(s.form->ended());
-    client->say(request.substr(30));
-    s.request().first->say(ok("in time"));
-    EXPECT_EQ(body(s.answer(*client)), "in time");
+    s.serve(*client, request.substr(30), "in time");
     s.until([&] { return client->ended; });
     client->close();
     s.until_ended();
@@ -93,8 +66,7 @@
     s.start();
     const auto idle = s.client();
     const auto client = s.client();
-    idle->say(ready);
-    EXPECT_EQ(status(s.answer(*idle)), 200);
+    EXPECT_EQ(status(s.ask(*idle, ready)), 200);
     const auto request = s.once(500);
     client->say(request.substr(0, 30));
     s.end();
@@ -111,10 +83,8 @@
 // What was taken whole before the drain is answered at its own deadline, although its upstream says nothing.
 TEST(Drain, AnswersWhatWasTakenThoughItsUpstreamIsSilent) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(500));
-    const auto wire = s.request().first;
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.once(500));
     s.form->end();
     const auto answer = s.answer(*client);
     EXPECT_TRUE(failed(answer)) << answer;
@@ -129,15 +99,13 @@
     Stage s;
     s.start();
     const auto held = s.client();
-    held->say(s.once());
-    const auto wire = s.request().first;
+    const auto wire = s.send(*held, s.once());
     s.end();
     s.form->end();
-    until_refused(s);
+    s.until_refused();
     s.form->end();  // and once more, when it has begun to close
     EXPECT_FALSE(held->ended);
-    wire->say(ok("held"));
-    EXPECT_EQ(body(s.answer(*held)), "held");
+    s.pass(*wire, *held, "held");
     held->close();
     s.until_ended();
     EXPECT_EQ(s.logged("draining"), 1U);
@@ -147,16 +115,13 @@
 TEST(Drain, TakesAConfiguration) {
     Stage s;
     Listener other(s.loop);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once());
-    const auto wire = s.request().first;
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.once());
     s.end();
     s.config["discovery"] = text_of(other.address());
     s.take();
-    s.until([&] { return !other.wires.empty() && has(other.wires[0]->in, "\r\n\r\n"); });
-    wire->say(ok("held"));
-    EXPECT_EQ(body(s.answer(*client)), "held");
+    s.watch(other);
+    s.pass(*wire, *client, "held");
     client->close();
     s.until_ended();
 }
--- a/tests/suite/faults_test.cpp
+++ b/tests/suite/faults_test.cpp
@@ -19,21 +19,10 @@
     s.start();
     s.end();
     std::vector<std::shared_ptr<Wire>> late;
-    bool refused = false;
-    asio::steady_timer pace(s.loop);
-    const std::function<void()> come = [&] {
-        const auto client = s.try_client();
-        refused = client == nullptr;
-        if (refused) return;
+    s.until_refused([&](const auto& client) {
         client->say(s.once(600));  // the upstreams stay silent: it is answered at its deadline
         late.push_back(client);
-        pace.expires_after(std::chrono::milliseconds(20));
-        pace.async_wait([&](boost::system::error_code error) {
-            if (!error) come();
-        });
-    };
-    come();
-    s.until([&] { return refused; });
+    });
     std::size_t lost = 0;
     for (const auto& client : late) lost += s.answer(*client).empty();
     EXPECT_EQ(lost, 0U) << "of " << late.size();
@@ -46,14 +35,11 @@
     Stage s;
     s.start();
     const auto before = s.client();
-    before->say(ready);
-    EXPECT_EQ(status(s.answer(*before)), 200);
+    EXPECT_EQ(status(s.ask(*before, ready)), 200);
     s.end();
-    before->say(ready);
-    EXPECT_EQ(status(s.answer(*before)), 503);
+    EXPECT_EQ(status(s.ask(*before, ready)), 503);
     const auto after = s.client();
-    after->say(ready);
-    EXPECT_EQ(status(s.answer(*after)), 503);
+    EXPECT_EQ(status(s.ask(*after, ready)), 503);
 }
 
 // Fault: an attempt whose connection is still coming up when its server is told to drain is written once it
@@ -70,13 +56,12 @@
     s.config["known"]["hosts"] = {Stage::entry("s-stuck", stuck.local_endpoint())};
     s.config["settings"]["invariants"]["drain_grace"] = 50.0;
     s.start();
-    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    const auto watch = s.watch();
     const auto client = s.client();
     client->say(s.once());  // unsafe: it goes elsewhere only when this attempt has ended
     s.settle();
-    json news = s.list(9, false);
-    news["hosts"] = {Stage::entry("s-stuck", stuck.local_endpoint(), "leaving"), s.upstream(1)};
-    s.discovery.wires[0]->say(watch_head + chunk(news.dump() + "\n") + chunk("\n"));
+    const json hosts = {Stage::entry("s-stuck", stuck.local_endpoint(), "leaving"), s.upstream(1)};
+    watch->say(watch_head + Stage::news(9, false, hosts) + chunk("\n"));
     s.settle();
     stuck.accept();  // room for one more
     std::vector<std::shared_ptr<Wire>> came;
@@ -90,16 +75,14 @@
     };
     accept();
     const auto written = [&] {
-        for (const auto& wire : came) {
+        for (const auto& wire : came)
             if (!wire->in.empty()) return true;
-        }
         return false;
     };
     s.until([&] { return written() || !s.nothing_here(); });
     EXPECT_FALSE(written()) << came[0]->in;
     if (!written()) {
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*client)), 200);
+        s.pass(*s.request().first, *client);
     } else {
         came[0]->say(ok());
         s.answer(*client);
@@ -146,16 +129,14 @@
         for (const auto& client : clients) EXPECT_EQ(status(s.answer(*client)), 200);
     };
     served_together();
-    clients[0]->say(ready);  // not by a client of its own: its end would free a descriptor later on
-    EXPECT_EQ(status(s.answer(*clients[0])), 200);
+    // Not by a client of its own: its end would free a descriptor later on.
+    EXPECT_EQ(status(s.ask(*clients[0], ready)), 200);
     rlimit usual{};
     ASSERT_EQ(::prlimit(s.form->process(), RLIMIT_NOFILE, nullptr, &usual), 0);
     const rlimit none{first_free_descriptor(s.form->process()), usual.rlim_max};
     ASSERT_EQ(::prlimit(s.form->process(), RLIMIT_NOFILE, &none, nullptr), 0);
     for (const auto& client : clients) client->say(s.once(100));
-    for (const auto& client : clients) {
-        EXPECT_TRUE(refused(s.answer(*client)));
-    }
+    for (const auto& client : clients) EXPECT_TRUE(refused(s.answer(*client)));
     EXPECT_TRUE(s.nothing_here());
     ASSERT_EQ(::prlimit(s.form->process(), RLIMIT_NOFILE, &usual, nullptr), 0);
     served_together();
@@ -166,8 +147,7 @@
 // server that is silent: the same id would reach a server a second time.
 TEST(Faults, AnIdStaysTakenWhileItsAttemptMayRun) {
     Stage s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(100, "body", "x7"));
     s.request();
     EXPECT_TRUE(failed(s.answer(*client)));
@@ -185,12 +165,10 @@
 TEST(Faults, AnEndBehindMuchThatWasSentAheadIsSeen) {
     Stage s;
     s.set_deadline(60000);
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     std::string ahead = s.look(60000);
     while (ahead.size() < 120 * 1024) ahead += s.look(60000);
-    client->say(ahead);
-    const auto wire = s.request().first;
+    const auto wire = s.send(*client, ahead);
     s.until([&] { return client->all_said(); });
     s.settle();
     client->close();
@@ -203,8 +181,7 @@
 // that closes wholly ends its attempt: Serving.ClientThatLeavesEndsItsAttempt.)
 TEST(Faults, AClientThatOnlyStopsSendingIsAnswered) {
     Stage s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once());
     client->end_sending();
     std::shared_ptr<Wire> wire;
@@ -212,8 +189,7 @@
     ASSERT_TRUE(wire) << "it was let go of";
     s.settle();
     EXPECT_FALSE(wire->ended);
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.pass(*wire, *client);
 }
 
 // Fault: a list that is longer than 256 KiB in one line is turned down, and with it every later one.
@@ -221,25 +197,18 @@
     Stage s;
     s.config["known"]["hosts"] = {s.upstream(0)};
     s.start();
-    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
+    const auto watch = s.watch();
     const auto client = s.client();
-    client->say(s.look());
-    const auto kept = s.request().first;
-    kept->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
-    json news = s.list(9, true);
-    news["hosts"] = {s.upstream(1)};
-    for (int i = 0; i < 4999; ++i) {
-        news["hosts"].push_back(Stage::entry("s-far-" + std::to_string(i), loopback(9), "leaving"));
-    }
-    s.discovery.wires[0]->say(watch_head + chunk(news.dump() + "\n") + chunk("\n"));
-    s.until([&] { return kept->ended || s.discovery.wires[0]->ended; });
+    const auto kept = s.serve(*client);
+    json hosts = {s.upstream(1)};
+    for (int i = 0; i < 4999; ++i)
+        hosts.push_back(Stage::entry("s-far-" + std::to_string(i), loopback(9), "leaving"));
+    watch->say(watch_head + Stage::news(9, true, hosts) + chunk("\n"));
+    s.until([&] { return kept->ended || watch->ended; });
     EXPECT_TRUE(kept->ended) << "the watch was given up";
-    client->say(s.look());
-    const auto wire = s.request().first;
+    const auto wire = s.send(*client, s.look());
     EXPECT_EQ(s.upstreams[1]->wires.size(), 1U);
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.pass(*wire, *client);
 }
 
 }  // namespace
--- a/tests/suite/form_library.cpp
+++ b/tests/suite/form_library.cpp
@@ -51,9 +51,7 @@
     Balancer& balancer = dynamic_cast<Hosted&>(*s.form).balancer();
     EXPECT_EQ(balancer.address(), text_of(s.address));
     const auto client = s.client();
-    client->say(s.look());
-    s.request().first->say(ok("the client's"));
-    EXPECT_EQ(body(s.answer(*client)), "the client's");
+    s.serve(*client, s.look(), "the client's");
 
     std::optional<CallResult> result;
     CallRequest own{.class_name = "once", .budget = std::chrono::seconds(5), .id = "own-1"};
@@ -62,8 +60,7 @@
     const auto [wire, request] = s.request();
     EXPECT_EQ(header(request, "X-Call-Id"), "own-1");
     // Its id is open: the listener knows of the call that did not come by it.
-    client->say(s.once(5000, "body", "own-1"));
-    EXPECT_EQ(status(s.answer(*client)), 409);
+    EXPECT_EQ(status(s.ask(*client, s.once(5000, "body", "own-1"))), 409);
     wire->say(ok("the host's"));
     s.until([&] { return result.has_value(); });
     EXPECT_EQ(result->verdict, CallVerdict::served);
--- a/tests/suite/input_test.cpp
+++ b/tests/suite/input_test.cpp
@@ -21,8 +21,7 @@
     for (const auto& [text, its_status] : cases) {
         SCOPED_TRACE(text.substr(0, 300));
         const auto client = s.client();
-        client->say(text);
-        const auto answer = s.answer(*client);
+        const auto answer = s.ask(*client, text);
         if (told) {
             EXPECT_EQ(status(answer), its_status);
         } else {
@@ -34,9 +33,7 @@
         EXPECT_EQ(s.connections(), 0U);
     }
     const auto client = s.client();  // and it serves on
-    client->say(s.look());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.serve(*client);
 }
 
 // Requests that can be read, but not understood.
@@ -112,32 +109,24 @@
 // An id that is open already, the same client's or another's, would mix up two requests at the upstreams.
 TEST(BadInput, AnOpenIdIsNotTakenTwice) {
     Stage s;
-    s.start();
-    const auto client = s.client();
-    client->say(s.once(5000, "mine", "x7"));
-    const auto wire = s.request().first;
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.once(5000, "mine", "x7"));
     const auto other = s.client();
-    other->say(s.once(5000, "theirs", "x7"));
-    EXPECT_EQ(status(s.answer(*other)), 409);
+    EXPECT_EQ(status(s.ask(*other, s.once(5000, "theirs", "x7"))), 409);
     s.until([&] { return other->ended; });
     EXPECT_TRUE(s.nothing_sent());
-    wire->say(ok("for mine"));
-    EXPECT_EQ(body(s.answer(*client)), "for mine");
-    client->say(s.once(5000, "again", "x7"));
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.pass(*wire, *client, "for mine");
+    s.serve(*client, s.once(5000, "again", "x7"));
 }
 
 // The class tells how long its clients wait at most.
 TEST(BadInput, ABudgetBeyondTheClassIsCut) {
     Stage s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(4000000));
     const auto [wire, request] = s.request();
     EXPECT_LE(std::stoi(header(request, "X-Budget-Ms")), 5000);
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.pass(*wire, *client);
 }
 
 // Neither one that never speaks nor one that stops halfway is kept; one that has been served is.
@@ -147,9 +136,7 @@
     s.operators = "[http]\nrequest_timeout = \"80ms\"\n";
     s.start();
     const auto served = s.client();
-    served->say(s.look());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*served)), 200);
+    s.serve(*served);
     const auto silent = s.client();
     const auto half = s.client();
     half->say(s.once().substr(0, 60));
@@ -157,9 +144,7 @@
     body->say("POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nbod");
     s.until([&] { return silent->ended && half->ended && body->ended; });
     EXPECT_FALSE(served->ended);
-    served->say(s.look());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*served)), 200);
+    s.serve(*served);
 }
 
 // A client that goes on sending after its answer is not listened to for long.
@@ -170,10 +155,8 @@
         s.operators =
             sends ? "[http]\nrequest_timeout = \"80ms\"\nlinger_timeout = \"60s\"\nlinger_bytes = \"4KiB\"\n"
                   : "[http]\nrequest_timeout = \"80ms\"\nsend_timeout = \"60s\"\nlinger_timeout = \"40ms\"\n";
-        s.start();
-        const auto client = s.client();
-        client->say("nonsense\r\n\r\n");
-        EXPECT_EQ(status(s.answer(*client)), 400);
+        const auto client = s.start_with_client();
+        EXPECT_EQ(status(s.ask(*client, "nonsense\r\n\r\n")), 400);
         s.until([&] { return !client->try_say(std::string(sends ? 1024 : 1, 'x')); });
     }
 }
--- a/tests/suite/limits_test.cpp
+++ b/tests/suite/limits_test.cpp
@@ -15,22 +15,17 @@
     }
     s.start();
     const auto busy = s.client();
-    busy->say(s.look());
-    const auto wire = s.request().first;
+    const auto wire = s.send(*busy, s.look());
     const auto idle = s.client();
-    idle->say(ready);
-    EXPECT_EQ(status(s.answer(*idle)), 200);
+    EXPECT_EQ(status(s.ask(*idle, ready)), 200);
     const auto silent = s.client();
     const auto third = s.client();
-    third->say(ready);
-    EXPECT_EQ(status(s.answer(*third)), 200);
+    EXPECT_EQ(status(s.ask(*third, ready)), 200);
     s.until([&] { return silent->ended || idle->ended; });
     const auto fourth = s.client();
-    fourth->say(ready);
-    EXPECT_EQ(status(s.answer(*fourth)), 200);
+    EXPECT_EQ(status(s.ask(*fourth, ready)), 200);
     s.until([&] { return idle->ended; });
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*busy)), 200);
+    s.pass(*wire, *busy);
 }
 
 // While all wait for their answers a further client waits in the backlog, and is taken with the next answer.
@@ -41,21 +36,16 @@
     if (s.form->takes_operators()) s.operators = "[http]\nrequest_timeout = \"60s\"\n";
     s.start();
     const auto first = s.client();
-    first->say(s.look(5000, "one"));
-    const auto wire = s.request().first;
+    const auto wire = s.send(*first, s.look(5000, "one"));
     const auto second = s.client();
-    second->say(s.look(5000, "two"));
-    const auto other = s.request().first;
+    const auto other = s.send(*second, s.look(5000, "two"));
     const auto third = s.client();
     third->say(s.look(5000, "three"));
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*first)), 200);
+    s.pass(*wire, *first);
     const auto [last, request] = s.request();
     EXPECT_EQ(header(request, "X-Call-Id"), "three");
-    last->say(ok());
-    EXPECT_EQ(status(s.answer(*third)), 200);
-    other->say(ok());
-    EXPECT_EQ(status(s.answer(*second)), 200);
+    s.pass(*last, *third);
+    s.pass(*other, *second);
 }
 
 // Whoever deals connections out holds only so many: those of clients that asked once and keep theirs must not
@@ -68,9 +58,7 @@
     std::vector<std::shared_ptr<Wire>> clients;
     for (int i = 0; i < 7; ++i) {
         clients.push_back(s.client());
-        clients.back()->say(s.look());
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*clients.back())), 200);
+        s.serve(*clients.back());
     }
     const auto left = [&] {
         return std::count_if(clients.begin(), clients.end(),
@@ -80,9 +68,7 @@
     // Those that are left are served on. None is ended while its request may be on the way: the answer tells.
     for (const auto& client : clients) {
         if (client->ended) continue;
-        client->say(s.look());
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*client)), 200);
+        s.serve(*client);
     }
     EXPECT_EQ(left(), 4);
 }
--- a/tests/suite/outcomes_test.cpp
+++ b/tests/suite/outcomes_test.cpp
@@ -7,13 +7,8 @@
 TEST(Outcomes, RefusedConnectionGoesOnElsewhere) {
     Stage s;
     s.upstreams[0]->close();
-    s.start();
-    const auto client = s.client();
-    for (int i = 0; i < 8; ++i) {
-        client->say(s.once());
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*client)), 200);
-    }
+    const auto client = s.start_with_client();
+    for (int i = 0; i < 8; ++i) s.serve(*client, s.once());
 }
 
 // A request that never ran is refused when it is given up, and the client told when to come back: in seconds,
@@ -24,10 +19,8 @@
         for (const auto& u : s.upstreams) u->close();
         s.config["settings"]["limits"]["retry_after"] = heeded;
         s.config["settings"]["limits"]["max_retry_after"] = 400.0;
-        s.start();
-        const auto client = s.client();
-        client->say(s.once(150));
-        const auto answer = s.answer(*client);
+        const auto client = s.start_with_client();
+        const auto answer = s.ask(*client, s.once(150));
         EXPECT_TRUE(refused(answer)) << answer;
         const auto told = header(answer, "Retry-After");
         if (!heeded) {
@@ -41,110 +34,84 @@
     }
 }
 
-// One that may have run has failed: nothing may tell the client to come back.
-TEST(Outcomes, FailureInvitesNobodyBack) {
-    Stage s;
-    s.config["settings"]["limits"]["retry_after"] = true;
-    s.config["settings"]["limits"]["max_retry_after"] = 400.0;
-    s.start();
-    const auto client = s.client();
-    client->say(s.once());
-    s.request().first->say(
-        "HTTP/1.1 500 Internal Server Error\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n");
-    const auto told = s.answer(*client);
-    EXPECT_TRUE(failed(told)) << told;
-    EXPECT_EQ(header(told, "Retry-After"), "");
-    client->say("GET /api HTTP/1.1\r\nHost: x\r\n\r\n");
-    const auto wrong = s.answer(*client);
-    EXPECT_EQ(status(wrong), 400);
-    EXPECT_EQ(header(wrong, "Retry-After"), "");
-}
-
-// What has been written whole may have run: an unsafe request is neither sent again nor refused.
-TEST(Outcomes, ResetAfterTheLastByteIsNotSentAgain) {
-    Stage s;
-    s.start();
-    const auto client = s.client();
-    client->say(s.once());
-    s.request().first->reset();
-    EXPECT_TRUE(failed(s.answer(*client)));
-    EXPECT_TRUE(s.nothing_sent());
-    EXPECT_EQ(s.connections(), 1U);
-}
-
-// They have run: an unsafe request is not sent again. The upstream lives, so it is neither put out nor cold:
-// two of them in a row would do that if they counted as resets.
-TEST(Outcomes, SpoiltAnswersAreErrors) {
+// An unsafe request that an upstream has whole may have run, whatever comes of it then. It is told at once as
+// a failure, which invites nobody back, and is not sent again.
+TEST(Outcomes, WhatMayHaveRunFailsOnce) {
+    enum Then {
+        kept,
+        ended_here,
+        closes,
+        resets
+    };  // what becomes of its connection, or what the upstream does
+    struct Case {
+        const char* what;
+        std::string says;
+        Then then;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
     std::string interims;
     for (int i = 0; i < 9; ++i) interims += "HTTP/1.1 103 Early Hints\r\n\r\n";
-    for (const std::string& bad :
-         {std::string("nonsense\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"),
-          std::string("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"),
-          std::string("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"),
-          std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
-          "HTTP/1.1 200 OK\r\nX-Long: " + std::string(20000, 'x'),
-          std::string("HTTP/1.1 200 OK\r\n\r\nno length: whole or cut?"),
-          std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"), interims}) {
+    for (const auto& [what, says, then] : std::vector<Case>{
+             {"an error", "HTTP/1.1 500 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", kept},
+             {"a rejection without its mark", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", kept},
+             {"reset after the last byte", "", resets},
+             {"an answer cut short", head + "Content-Length: 10\r\n\r\nhalf", closes},
+             {"no HTTP", "nonsense\r\n\r\n", ended_here},
+             {"a length that is no number", head + "Content-Length: x\r\n\r\n", ended_here},
+             {"a length below nothing", head + "Content-Length: -1\r\n\r\n", ended_here},
+             {"a length beyond the bound", head + "Content-Length: 3221225472\r\n\r\nxxxx", ended_here},
+             {"two lengths", head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+              ended_here},
+             {"a broken chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", ended_here},
+             {"a head beyond the bound", head + "X-Long: " + std::string(20000, 'x'), ended_here},
+             {"no length: whole or cut?", head + "\r\nbody", ended_here},
+             {"another protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", ended_here},
+             {"interim answers without end", interims, ended_here}}) {
+        SCOPED_TRACE(what);
         Stage s;
-        s.set_deadline(60000);  // beyond any patience here: what is spoilt is told at once
-        s.start();
-        const auto client = s.client();
-        client->say(s.once(60000));
-        const auto wire = s.request().first;
-        wire->say(bad);
-        EXPECT_TRUE(failed(s.answer(*client))) << bad;
-        s.until([&] { return wire->ended; });
+        s.set_deadline(60000);  // beyond any patience here
+        s.config["settings"]["limits"]["retry_after"] = true;
+        s.config["settings"]["limits"]["max_retry_after"] = 400.0;
+        const auto client = s.start_with_client();
+        const auto wire = s.send(*client, s.once(60000));
+        wire->say(says);
+        if (then == closes) wire->close();
+        if (then == resets) wire->reset();
+        const auto told = s.answer(*client);
+        EXPECT_TRUE(failed(told)) << told;
+        EXPECT_EQ(header(told, "Retry-After"), "");
+        if (then == ended_here) s.until([&w = wire] { return w->ended; });
         EXPECT_TRUE(s.nothing_sent());
         EXPECT_EQ(s.connections(), 1U);
+        const auto wrong = s.ask(*client, "GET /api HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_EQ(status(wrong), 400);
+        EXPECT_EQ(header(wrong, "Retry-After"), "");
     }
+}
+
+// The upstream that spoils its answers lives, so it is neither put out nor cold: two of them in a row would
+// do that if they counted as resets.
+TEST(Outcomes, SpoiltAnswersPutNobodyOut) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     for (int i = 0; i < 3; ++i) {
-        client->say(s.once());
-        s.request().first->say("nonsense\r\n\r\n");
+        s.send(*client, s.once())->say("nonsense\r\n\r\n");
         EXPECT_TRUE(failed(s.answer(*client)));
     }
-    client->say(s.once());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.serve(*client, s.once());
 }
 
-TEST(Outcomes, AnswerCutShortIsNoAnswer) {
+TEST(Outcomes, AMarkedRejectionGoesOnElsewhere) {
     Stage s;
-    s.start();
-    const auto client = s.client();
-    client->say(s.once());
-    const auto wire = s.request().first;
-    wire->say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
-    wire->close();
-    EXPECT_TRUE(failed(s.answer(*client)));
-    EXPECT_TRUE(s.nothing_sent());
-}
-
-TEST(Outcomes, OnlyAMarkedRejectionHasNotRun) {
-    for (const bool marked : {true, false}) {
-        Stage s;
-        s.start();
-        const auto client = s.client();
-        client->say(s.once());
-        s.request().first->say("HTTP/1.1 503 Service Unavailable\r\n" +
-                               std::string(marked ? "X-Rejected: 1\r\n" : "") + "Content-Length: 0\r\n\r\n");
-        if (marked) {
-            s.request().first->say(ok());  // it goes on to the other upstream
-            EXPECT_EQ(status(s.answer(*client)), 200);
-        } else {
-            EXPECT_TRUE(failed(s.answer(*client)));
-            EXPECT_TRUE(s.nothing_sent());
-        }
-    }
+    const auto client = s.start_with_client();
+    s.send(*client, s.once())
+        ->say("HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
+    s.pass(*s.request().first, *client);
 }
 
 TEST(Outcomes, InterimAnswersAreSkipped) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.look());
     s.request().first->say("HTTP/1.1 100 Continue\r\n\r\n" + ok("final"));
     EXPECT_EQ(body(s.answer(*client)), "final");
--- a/tests/suite/peers.h
+++ b/tests/suite/peers.h
@@ -188,6 +188,21 @@
     tcp::endpoint address_;
 };
 
+inline const char* const ready = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+inline std::string ok(std::string_view body = "served", std::string_view headers = "") {
+    return "HTTP/1.1 200 OK\r\n" + std::string(headers) + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + std::string(body);
+}
+
+// A piece of a watch's answer, and how such an answer begins.
+inline std::string chunk(const std::string& text) {
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+inline const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 inline json test_class(const char* name, const char* effect, double deadline) {
     return {{"name", name},      {"aim", 150.0},    {"hard_limit", deadline},
             {"effect", effect},  {"worth", 1.0},    {"stream", false},
@@ -294,6 +309,27 @@
         if (!wire) throw std::runtime_error("refused the connection");
         return wire;
     }
+    // Clients come, one after the other, until nobody new is taken: from then on it winds down.
+    void until_refused(const std::function<void(const std::shared_ptr<Wire>&)>& each,
+                       int where = __builtin_LINE()) {
+        bool refused = false;
+        asio::steady_timer pace(loop);
+        const std::function<void()> come = [&] {
+            const auto client = try_client();
+            refused = client == nullptr;
+            if (refused) return;
+            each(client);
+            pace.expires_after(std::chrono::milliseconds(20));
+            pace.async_wait([&](boost::system::error_code error) {
+                if (!error) come();
+            });
+        };
+        come();
+        until([&] { return refused; }, where);
+    }
+    void until_refused(int where = __builtin_LINE()) {
+        until_refused([](const auto& client) { client->close(); }, where);
+    }
     // The next final answer; empty when the connection ended instead.
     std::string answer(Wire& wire, int where = __builtin_LINE()) {
         std::string message;
@@ -321,6 +357,51 @@
         until([&] { return (got = request_here()).first != nullptr; }, where);
         return got;
     }
+
+    // Starts it; its first client.
+    std::shared_ptr<Wire> start_with_client() {
+        start();
+        return client();
+    }
+    // Says a request and waits until it is at an upstream: the connection that it came on there.
+    std::shared_ptr<Wire> send(Wire& client, std::string_view request, int where = __builtin_LINE()) {
+        client.say(request);
+        return this->request(where).first;
+    }
+    // Says a request; its answer, from wherever it comes.
+    std::string ask(Wire& client, std::string_view request, int where = __builtin_LINE()) {
+        client.say(request);
+        return answer(client, where);
+    }
+    // An upstream's answer to a request that it has, which its client gets as it is.
+    void pass(Wire& upstream, Wire& client, std::string_view content = "served",
+              std::string_view headers = "", int where = __builtin_LINE()) {
+        upstream.say(ok(content, headers));
+        const auto told = answer(client, where);
+        EXPECT_EQ(status(told), 200) << "in line " << where;
+        EXPECT_TRUE(body(told) == content) << "in line " << where << ": " << told.substr(0, 300);
+    }
+    // A request that is served, and the connection that it came on to its upstream.
+    std::shared_ptr<Wire> serve(Wire& client, std::string_view request, std::string_view content = "served",
+                                int where = __builtin_LINE()) {
+        const auto wire = send(client, request, where);
+        pass(*wire, client, content, {}, where);
+        return wire;
+    }
+    std::shared_ptr<Wire> serve(Wire& client, int where = __builtin_LINE()) {
+        return serve(client, look(), "served", where);
+    }
+    // The watch that came n-th to a discovery service, once its request is there.
+    std::shared_ptr<Wire> watch(const Listener& service, std::size_t n = 1, int where = __builtin_LINE()) {
+        until([&] { return service.wires.size() >= n && has(service.wires[n - 1]->in, "\r\n\r\n"); }, where);
+        return service.wires[n - 1];
+    }
+    std::shared_ptr<Wire> watch(int where = __builtin_LINE()) { return watch(discovery, 1, where); }
+    // The list, or what has changed of it, as a line of a watch.
+    static std::string news(int version, bool whole, const json& hosts) {
+        return chunk(json{{"seq", version}, {"whole", whole}, {"hosts", hosts}}.dump() + "\n");
+    }
+
     std::size_t connections() const {
         std::size_t n = 0;
         for (const auto& u : upstreams) n += u->wires.size();
@@ -331,8 +412,7 @@
     // all that, and what it wrote before lay in this machine's buffers by then.
     void settle(int where = __builtin_LINE()) {
         const auto fence = client();
-        fence->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-        if (answer(*fence, where).empty()) throw std::runtime_error("/ready was not answered");
+        if (ask(*fence, ready, where).empty()) throw std::runtime_error("/ready was not answered");
         fence->close();
         drink();
     }
@@ -434,19 +514,4 @@
 #define NEEDS_OPERATORS(stage) \
     if (!(stage).form->takes_operators()) GTEST_SKIP() << "this form takes no operator's file yet"
 
-inline const char* const ready = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
-
-inline std::string ok(std::string_view body = "served", std::string_view headers = "") {
-    return "HTTP/1.1 200 OK\r\n" + std::string(headers) + "Content-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + std::string(body);
-}
-
-// A piece of a watch's answer, and how such an answer begins.
-inline std::string chunk(const std::string& text) {
-    char size[20];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-}
-inline const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 }  // namespace flaxdoor::test
--- a/tests/suite/serving_test.cpp
+++ b/tests/suite/serving_test.cpp
@@ -8,8 +8,7 @@
 
 TEST(Serving, PassesRequestAndAnswerOnUnchanged) {
     Stage s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(
         "POST /api?a=1&b=%20 HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: 9b1f\r\nX-Call-Class: book it\r\n"
         "X-Budget-Ms: 5000\r\nIdempotency-Key: k7\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: "
@@ -32,18 +31,15 @@
 
 TEST(Serving, ReadyAnswersAtOnce) {
     Stage s;
-    s.start();
-    const auto client = s.client();
-    client->say(ready);
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto client = s.start_with_client();
+    EXPECT_EQ(status(s.ask(*client, ready)), 200);
 }
 
 // The answer leaves before the client gives up, and the attempt that stays silent is given up with it: what
 // the upstream is told of the time left is less than the client has.
 TEST(Serving, AnswersBeforeTheClientGivesUp) {
     Stage s;
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     client->say(s.once(150));
     const auto [wire, request] = s.request();
     const int told = std::stoi(header(request, "X-Budget-Ms"));
@@ -57,65 +53,54 @@
 TEST(Serving, ClientThatLeavesEndsItsAttempt) {
     Stage s;
     s.set_deadline(60000);
-    s.start();
-    const auto client = s.client();
-    client->say(s.look(60000));
-    const auto [wire, request] = s.request();
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.look(60000));
     client->close();
-    s.until([&w = wire] { return w->ended; });
+    s.until([&] { return wire->ended; });
     s.settle();
     EXPECT_EQ(s.connections(), 1U);
 }
 
-// Two requests written together are answered one after the other.
+// Requests written together are answered one after the other.
 TEST(Serving, PipelinedRequestsAreTakenInTurn) {
     Stage s;
-    s.start();
-    const auto client = s.client();
-    client->say(s.look(5000, "first") + s.look(5000, "second"));
-    for (const char* id : {"first", "second"}) {
+    const auto client = s.start_with_client();
+    const auto ids = {"one", "two", "three", "four", "five"};
+    std::string all;
+    for (const char* id : ids) all += s.once(5000, "body", id);
+    client->say(all);
+    for (const char* id : ids) {
         const auto [wire, request] = s.request();
         EXPECT_EQ(header(request, "X-Call-Id"), id);
         EXPECT_TRUE(s.nothing_sent());
-        wire->say(ok(id));
-        EXPECT_EQ(body(s.answer(*client)), id);
+        s.pass(*wire, *client, id);
     }
 }
 
 // A body of the largest size goes through whole, both ways.
 TEST(Serving, TheLargestBodyPasses) {
     Stage s;
-    s.start();
+    const auto client = s.start_with_client();
     const std::string large(64 * 1024, 'x');
-    const auto client = s.client();
     client->say(s.once(5000, large));
     const auto [wire, request] = s.request();
     EXPECT_TRUE(body(request) == large);
-    wire->say(ok(large));
-    EXPECT_TRUE(body(s.answer(*client)) == large);
+    s.pass(*wire, *client, large);
 }
 
 TEST(Kept, ReusesAConnection) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
-    for (int i = 0; i < 3; ++i) {
-        client->say(s.look());
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*client)), 200);
-    }
+    const auto client = s.start_with_client();
+    for (int i = 0; i < 3; ++i) s.serve(*client);
     EXPECT_EQ(s.connections(), 1U);
 }
 
 TEST(Kept, HonoursConnectionClose) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
+    const auto client = s.start_with_client();
     for (std::size_t i = 0; i < 2; ++i) {
-        client->say(s.look());
-        const auto wire = s.request().first;
-        wire->say(ok("served", "Connection: close\r\n"));
-        EXPECT_EQ(status(s.answer(*client)), 200);
+        const auto wire = s.send(*client, s.look());
+        s.pass(*wire, *client, "served", "Connection: close\r\n");
         s.until([&] { return wire->ended; });
         EXPECT_EQ(s.connections(), i + 1);
     }
@@ -125,45 +110,32 @@
 // written to it would be lost.
 TEST(Kept, NoticesAnEndBeforeReuse) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
-    client->say(s.once());
-    const auto wire = s.request().first;
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto client = s.start_with_client();
+    const auto wire = s.serve(*client, s.once());
     s.form->hold();
     client->say(s.once());
     wire->close();
     s.form->go_on();  // both are there before it looks at either
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.pass(*s.request().first, *client);
     EXPECT_EQ(s.connections(), 2U);
 }
 
 // Bytes that nobody asked for belong to no later request.
 TEST(Kept, DropsAConnectionThatSpeaksUnasked) {
     Stage s(1);
-    s.start();
-    const auto client = s.client();
-    client->say(s.look());
-    const auto wire = s.request().first;
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.look());
     wire->say(ok("mine") + ok("nobody's"));
     EXPECT_EQ(body(s.answer(*client)), "mine");
-    client->say(s.look());
-    s.request().first->say(ok("also mine"));
-    EXPECT_EQ(body(s.answer(*client)), "also mine");
+    s.serve(*client, s.look(), "also mine");
     EXPECT_EQ(s.connections(), 2U);
 }
 
 TEST(Kept, ClosesBeforeTheToldIdleLimit) {
     Stage s(1);
     s.config["settings"]["limits"]["idle_close"] = 50.0;
-    s.start();
-    const auto client = s.client();
-    client->say(s.look());
-    const auto wire = s.request().first;
-    wire->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    const auto client = s.start_with_client();
+    const auto wire = s.serve(*client);
     s.until([&] { return wire->ended; });
 }
 
--- a/tests/suite/stall_test.cpp
+++ b/tests/suite/stall_test.cpp
@@ -29,9 +29,8 @@
         });
         std::size_t answered = 0;
         s.until([&] {
-            for (auto [wire, request] = s.request_here(); wire; std::tie(wire, request) = s.request_here()) {
+            for (auto [wire, request] = s.request_here(); wire; std::tie(wire, request) = s.request_here())
                 wire->say(ok());
-            }
             answered = 0;
             for (const auto& client : clients) answered += has(client->in, "\r\n\r\n");
             return std::all_of(clients.begin(), clients.end(),
@@ -47,23 +46,18 @@
     for (const bool discovery_first : {false, true}) {
         Stage s(1);
         s.start();
-        s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires[0]->in, "\r\n\r\n"); });
-        const auto watch = s.discovery.wires[0];
+        const auto watch = s.watch();
         watch->say(watch_head + chunk("\n"));
         std::vector<std::shared_ptr<Wire>> clients;
         for (int i = 0; i < 20; ++i) clients.push_back(s.client());
-        clients[0]->say(s.once());
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*clients[0])), 200);
+        s.serve(*clients[0], s.once());
         s.settle();
-        json news = s.list(9, false);
-        news["hosts"] = json::array();
+        json hosts = json::array();
         for (int i = 0; i < 500; ++i) {  // more than is read at once
-            news["hosts"].push_back(
-                Stage::entry("o-" + std::to_string(i), s.upstreams[0]->address(), "left"));
+            hosts.push_back(Stage::entry("o-" + std::to_string(i), s.upstreams[0]->address(), "left"));
         }
-        news["hosts"].push_back(s.upstream(0, "leaving"));
-        const auto tell = [&] { watch->say(chunk(news.dump() + "\n")); };
+        hosts.push_back(s.upstream(0, "leaving"));
+        const auto tell = [&] { watch->say(Stage::news(9, false, hosts)); };
         s.stall(std::chrono::milliseconds(100), [&] {
             if (discovery_first) tell();
             for (const auto& client : clients) client->say(s.once(200));
