Store's tests: one way to write a batch, to damage a file and to look at what opens

Each file of tests/store put a batch into a group of one by hand, finished the background work by hand, and made a store of some size, flipped a byte and opened it in its own way.

Change: model.h writes a batch or a group and finishes the work; damage_test.cpp has one large store, one flip and one opening that also looks at all files, and each byte of records, headers, manifests and the identity is one table of pieces; faults_test.cpp begins, steps and mends in one place each; refused batches of engine_test.cpp have names.

--- a/tests/store/crash_test.cpp
+++ b/tests/store/crash_test.cpp
@@ -45,9 +45,7 @@
     if (!engine.space("ledger", SpaceKind::streams, false, ledger) || !engine.next_position(ledger, "a", n))
         ::_exit(4);
     for (;; ++n) {
-        const Batch batch = batch_of(engine, batch_number(n));
-        const Batch* const one = &batch;
-        if (!engine.write(std::span(&one, 1), true).front().result) ::_exit(5);
+        if (!write(engine, batch_number(n)).result) ::_exit(5);
         if (::write(tell, &n, sizeof n) != sizeof n) ::_exit(6);
         while (engine.crowded() || (n % 3 == 0 && engine.has_work())) {
             if (!engine.step()) ::_exit(7);
--- a/tests/store/damage_test.cpp
+++ b/tests/store/damage_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -39,12 +40,10 @@
         WorkloadMaker maker(7);
         for (int i = 0; i < batches; ++i) {
             const Changes changes = maker.next();
-            const Batch batch = batch_of(*opened.engine, changes);
-            const Batch* const one = &batch;
-            const auto written = opened.engine->write(std::span(&one, 1), true);
-            if (written.front().sequence == history.states.back().sequence) continue;
+            const auto written = write(*opened.engine, changes);
+            if (written.sequence == history.states.back().sequence) continue;
             model.apply(changes);
-            history.add(written.front().sequence, std::make_shared<const Model>(model));
+            history.add(written.sequence, std::make_shared<const Model>(model));
         }
         image = files.disk().visible();
         for (const auto& [name, content] : image) {
@@ -63,20 +62,43 @@
     }
 };
 
+// One of some size, with runs.
+struct Large {
+    Image image;
+    std::string text;
+
+    explicit Large(std::uint64_t seed = 20, std::uint64_t salts = 1) {
+        SimFiles files;
+        text = *record(files, files, seed, salts, 20).history.states.back().text;
+        image = files.disk().visible();
+    }
+};
+
 struct Outcome {
     Result result;
     Opening opening;
     std::string text;
+    Result verified;       // what a look at all its files says, or that of the opening
     bool changed = false;  // anything on the disk
+    Image left;
 };
 Outcome open(const Image& image, EngineOptions options = small_options()) {
     SimFiles files(image);
     auto opened = Engine::open(files, options, counting(5));
-    Outcome outcome{opened.result, opened.opening, {}, !files.operations().empty()};
-    if (opened.engine) outcome.text = text_of(*opened.engine, names(), 100);
+    Outcome outcome{opened.result, opened.opening, {}, opened.result, !files.operations().empty(), {}};
+    if (opened.engine) {
+        outcome.text = text_of(*opened.engine, names(), 100);
+        outcome.verified = opened.engine->verify([](const std::string&) {});
+    }
+    outcome.left = files.disk().visible();
     return outcome;
 }
 
+Image flipped(Image image, const std::string& name, std::uint64_t at, int bits = 0x10) {
+    image[name][at] = static_cast<char>(image[name][at] ^ bits);
+    return image;
+}
+
 void expect_damage(const Image& image, const std::string& file, std::uint64_t offset,
                    const std::string& what) {
     const Outcome outcome = open(image);
@@ -85,17 +107,24 @@
         << what << ": " << outcome.result.why;
     EXPECT_FALSE(outcome.changed) << what;
 }
-
 // -------------------------------------------------------------------------------------------------- records
 
-TEST(StoreDamage, EachByteOfAVouchedRecord) {
+// Records that others vouch for, headers, manifests and the identity.
+TEST(StoreDamage, EachByteOfWhatIsVouchedFor) {
+    struct Piece {
+        std::string file;
+        std::uint64_t begin, end;
+    };
     const Small small(8);
-    for (std::size_t r = 0; r + 1 < small.records.size(); ++r) {
-        const Record& record = small.records[r];
-        for (std::uint64_t at = record.offset; at < record.end; ++at) {
-            Image image = small.image;
-            image[small.log][at] = static_cast<char>(image[small.log][at] ^ 0x10);
-            expect_damage(image, small.log, record.offset, "byte " + std::to_string(at));
+    std::vector<Piece> pieces;
+    for (std::size_t r = 0; r + 1 < small.records.size(); ++r)
+        pieces.push_back({small.log, small.records[r].offset, small.records[r].end});
+    for (const auto& [name, content] : small.image)
+        pieces.push_back({name, 0, name == small.log ? log_header_bytes : content.size()});
+    for (const Piece& piece : pieces) {
+        for (std::uint64_t at = piece.begin; at < piece.end; ++at) {
+            expect_damage(flipped(small.image, piece.file, at), piece.file, piece.begin,
+                          piece.file + " byte " + std::to_string(at));
         }
     }
 }
@@ -105,9 +134,7 @@
     const Record& last = small.records.back();
     const auto& states = small.history.states;
     for (std::uint64_t at = last.offset; at < last.end; ++at) {
-        Image image = small.image;
-        image[small.log][at] = static_cast<char>(image[small.log][at] ^ 0x10);
-        const Outcome outcome = open(image);
+        const Outcome outcome = open(flipped(small.image, small.log, at));
         ASSERT_TRUE(outcome.result) << outcome.result.why;
         EXPECT_EQ(outcome.text, *states[states.size() - 2].text) << at;
         EXPECT_EQ(outcome.opening.dropped_in, small.log);
@@ -116,18 +143,6 @@
     }
 }
 
-TEST(StoreDamage, EachByteOfAHeaderAManifestAndTheIdentity) {
-    const Small small(3);
-    for (const auto& [name, content] : small.image) {
-        const std::size_t most = name == small.log ? log_header_bytes : content.size();
-        for (std::size_t at = 0; at < most; ++at) {
-            Image image = small.image;
-            image[name][at] = static_cast<char>(image[name][at] ^ 0x10);
-            expect_damage(image, name, 0, name + " byte " + std::to_string(at));
-        }
-    }
-}
-
 TEST(StoreDamage, LastRecordTornAtEveryByte) {
     const Small small(8);
     // The same log with other salts: what stands on blocks that are used again.
@@ -156,41 +171,37 @@
 
 TEST(StoreDamage, LengthOfARecord) {
     const Small small(8);
-    for (const std::size_t r : {small.records.size() - 1, std::size_t{2}}) {
-        for (const std::uint32_t length : {0U, 1U, 8U, 1000U, 0xffffffU, 0x7fffffffU, 0xffffffffU}) {
+    const std::uint64_t last = small.records.back().offset, vouched = small.records[2].offset;
+    for (const std::uint32_t length : {0U, 1U, 8U, 1000U, 0xffffffU, 0x7fffffffU, 0xffffffffU}) {
+        const auto with_length = [&](std::uint64_t record) {
             Image image = small.image;
             std::string number;
             put_u32(number, length);
-            image[small.log].replace(small.records[r].offset + 8, 4, number);
-            if (r == 2) {
-                expect_damage(image, small.log, small.records[r].offset, "length " + std::to_string(length));
-                continue;
-            }
-            const Outcome outcome = open(image);
-            ASSERT_TRUE(outcome.result) << outcome.result.why;
-            EXPECT_EQ(outcome.opening.dropped_at, small.records[r].offset);
-        }
+            image[small.log].replace(record + 8, 4, number);
+            return image;
+        };
+        expect_damage(with_length(vouched), small.log, vouched, "length " + std::to_string(length));
+        const Outcome outcome = open(with_length(last));
+        ASSERT_TRUE(outcome.result) << outcome.result.why;
+        EXPECT_EQ(outcome.opening.dropped_at, last);
     }
 }
 
 TEST(StoreDamage, TwoRecordsOfOneSequence) {
     const Small small(8);
     const Record& last = small.records.back();
-    const std::uint64_t salt = u64_at(small.bytes, 40);
-    for (const bool vouched : {false, true}) {
+    const auto twice = [&](std::uint64_t vouches) {
         Image image = small.image;
         RecordWriter writer;
         writer.put("\x01key", "twice");
-        writer.finish(image[small.log], salt, last.first_sequence, last.last_sequence() + (vouched ? 1 : 0));
-        if (vouched) {
-            expect_damage(image, small.log, small.bytes.size(), "a second one that vouches for more");
-            continue;
-        }
-        const Outcome outcome = open(image);
-        ASSERT_TRUE(outcome.result) << outcome.result.why;
-        EXPECT_EQ(outcome.text, *small.history.states.back().text);
-        EXPECT_EQ(outcome.opening.dropped_at, small.bytes.size());
-    }
+        writer.finish(image[small.log], u64_at(small.bytes, 40), last.first_sequence, vouches);
+        return image;
+    };
+    expect_damage(twice(last.last_sequence() + 1), small.log, small.bytes.size(), "it vouches for more");
+    const Outcome outcome = open(twice(last.last_sequence()));
+    ASSERT_TRUE(outcome.result) << outcome.result.why;
+    EXPECT_EQ(outcome.text, *small.history.states.back().text);
+    EXPECT_EQ(outcome.opening.dropped_at, small.bytes.size());
 }
 
 TEST(StoreDamage, GoodRecordsBehindATailGoWithIt) {
@@ -203,16 +214,10 @@
     const std::size_t durable = files.operations().size();
     WorkloadMaker maker(3);
     for (int i = 0; i < 5; ++i) {
-        const Batch batch = batch_of(*opened.engine, maker.next());
-        const Batch* const one = &batch;
-        ASSERT_TRUE(opened.engine->write(std::span(&one, 1), false).front().result);
+        ASSERT_TRUE(write(*opened.engine, maker.next(), false).result);
     }
-    Image image = files.disk().visible();
-    const Operation& first = files.operations()[durable];
-    for (auto& [name, content] : image) {
-        if (name.ends_with(".log")) content[first.at + 40] = static_cast<char>(content[first.at + 40] ^ 1);
-    }
-    SimFiles after(image);
+    const std::uint64_t within_the_first = files.operations()[durable].at + 40;
+    SimFiles after(flipped(files.disk().visible(), name_of(1, "log"), within_the_first, 1));
     auto again = Engine::open(after, no_runs(), counting(2));
     ASSERT_TRUE(again.result) << again.result.why;
     EXPECT_EQ(text_of(*again.engine, names()), before);
@@ -231,26 +236,19 @@
     auto opened = Engine::open(files, small_options(), counting(1));
     make_spaces(*opened.engine, nullptr);
     WorkloadMaker maker(3);
-    const auto logs = [&] {
-        std::vector<std::string> found;
-        for (const std::string& name : files.disk().names()) {
-            if (name.ends_with(".log")) found.push_back(name);
-        }
-        return found;
-    };
-    while (logs().size() < 2) {
-        const Batch batch = batch_of(*opened.engine, maker.next());
-        const Batch* const one = &batch;
-        ASSERT_TRUE(opened.engine->write(std::span(&one, 1), true).front().result);
+    std::vector<std::string> logs;
+    while (logs.size() < 2) {
+        ASSERT_TRUE(write(*opened.engine, maker.next()).result);
+        logs = files.disk().names();
+        std::erase_if(logs, [](const std::string& name) { return !name.ends_with(".log"); });
     }
     Image image = files.disk().visible();
-    ASSERT_EQ(image[logs().back()].size(), log_header_bytes);
-    const std::string log = logs().front();
+    ASSERT_EQ(image[logs.back()].size(), log_header_bytes);
+    const std::string log = logs.front();
     const LogReader reader(image[log], opened.engine->identity(), parse_name(log)->number);
     std::uint64_t last = log_header_bytes;
     while (reader.at(last)->end < image[log].size()) last = reader.at(last)->end;
-    image[log][last + 33] = static_cast<char>(image[log][last + 33] ^ 1);
-    expect_damage(image, log, last, "last record");
+    expect_damage(flipped(image, log, last + 33, 1), log, last, "last record");
     // Or it is gone as a whole.
     image[log].resize(last);
     expect_damage(image, log, last, "no last record");
@@ -259,12 +257,10 @@
 // ---------------------------------------------------------------------------------------------------- files
 
 TEST(StoreDamage, MissingFiles) {
-    SimFiles files;
-    const Recording recording = record(files, files, 20, 1, 20);
-    const Image image = files.disk().visible();
+    const Large large;
     std::set<std::string> kinds;
-    for (const auto& [name, content] : image) {
-        Image less = image;
+    for (const auto& [name, content] : large.image) {
+        Image less = large.image;
         less.erase(name);
         const std::string kind = name.substr(name.find('.') + 1);
         kinds.insert(kind);
@@ -279,45 +275,35 @@
 }
 
 TEST(StoreDamage, EmptyFiles) {
-    SimFiles files;
-    const Recording recording = record(files, files, 20, 1, 20);
-    const Image image = files.disk().visible();
-    const std::string text = *recording.history.states.back().text;
-    for (const auto& [name, content] : image) {
-        Image emptied = image;
+    const Large large;
+    for (const auto& [name, content] : large.image) {
+        Image emptied = large.image;
         emptied[name].clear();
-        const Outcome outcome = open(emptied);
-        EXPECT_EQ(outcome.result.status, Status::corrupt) << name << " " << outcome.result.why;
-        EXPECT_TRUE(outcome.result.why.starts_with(name + ", offset 0")) << outcome.result.why;
-        EXPECT_FALSE(outcome.changed);
+        expect_damage(emptied, name, 0, name + " is empty");
     }
     // Files that a cut may have left empty.
     for (const char* kind : {"log", "run", "manifest"}) {
-        Image more = image;
+        Image more = large.image;
         more[name_of(9999, kind)];
         const Outcome outcome = open(more);
         ASSERT_TRUE(outcome.result) << kind << ": " << outcome.result.why;
-        EXPECT_EQ(outcome.text, text) << kind;
+        EXPECT_EQ(outcome.text, large.text) << kind;
     }
 }
 
 TEST(StoreDamage, FilesThatNothingNames) {
-    SimFiles files;
-    const Recording recording = record(files, files, 20, 1, 20);
-    Image image = files.disk().visible();
-    const std::string text = *recording.history.states.back().text;
+    const Large large;
+    Image image = large.image;
     image[name_of(9990, "run")] = "anything";
     image[name_of(0, "log")] = "an old one";
     image["0000000007.run.lost"] = "kept";
     image["lost+found"] = "";
-    SimFiles after(image);
-    auto opened = Engine::open(after, small_options(), counting(3));
-    ASSERT_TRUE(opened.result) << opened.result.why;
-    EXPECT_EQ(text_of(*opened.engine, names()), text);
-    const Image left = after.disk().visible();
-    EXPECT_FALSE(left.contains(name_of(9990, "run")));
-    EXPECT_FALSE(left.contains(name_of(0, "log")));
-    EXPECT_TRUE(left.contains("0000000007.run.lost"));
+    const Outcome cleared = open(image);
+    ASSERT_TRUE(cleared.result) << cleared.result.why;
+    EXPECT_EQ(cleared.text, large.text);
+    EXPECT_FALSE(cleared.left.contains(name_of(9990, "run")));
+    EXPECT_FALSE(cleared.left.contains(name_of(0, "log")));
+    EXPECT_TRUE(cleared.left.contains("0000000007.run.lost"));
     // A folder that holds something else is not touched.
     for (const char* name : {"notes.txt", "0000000001.tmp", "00000001.run", "0000000001.manifest.bak"}) {
         Image other = image;
@@ -329,30 +315,20 @@
 }
 
 TEST(StoreDamage, EachByteOfARun) {
-    SimFiles files;
-    const Recording recording = record(files, files, 20, 1, 20);
-    const Image image = files.disk().visible();
+    const Large large;
     int runs = 0;
-    for (const auto& [name, content] : image) {
+    for (const auto& [name, content] : large.image) {
         if (!name.ends_with(".run") || ++runs > 3) continue;
         for (std::size_t at = 0; at < content.size(); ++at) {
-            Image damaged = image;
-            damaged[name][at] = static_cast<char>(content[at] ^ 1);
-            SimFiles after(damaged);
-            auto opened = Engine::open(after, small_options(), counting(4));
-            Result result = opened.result;
-            if (opened.engine) {
-                // What is read is right or refused: the text is the model's or tells of the damage.
-                const std::string text = text_of(*opened.engine, names(), 100);
-                if (text.starts_with("failed")) {
-                    EXPECT_TRUE(text.starts_with("failed: corrupt: " + name + ", offset ")) << text;
-                } else {
-                    EXPECT_EQ(text, *recording.history.states.back().text);
-                }
-                result = opened.engine->verify([](const std::string&) {});
+            const Outcome outcome = open(flipped(large.image, name, at, 1));
+            // What is read is right or refused: the text is the model's or tells of the damage.
+            if (outcome.text.starts_with("failed")) {
+                EXPECT_TRUE(outcome.text.starts_with("failed: corrupt: " + name + ", offset "));
+            } else if (outcome.result) {
+                EXPECT_EQ(outcome.text, large.text);
             }
-            ASSERT_EQ(result.status, Status::corrupt) << name << " byte " << at;
-            ASSERT_TRUE(result.why.starts_with(name + ", offset ")) << result.why;
+            ASSERT_EQ(outcome.verified.status, Status::corrupt) << name << " byte " << at;
+            ASSERT_TRUE(outcome.verified.why.starts_with(name + ", offset ")) << outcome.verified.why;
         }
     }
     EXPECT_GE(runs, 3);
@@ -360,34 +336,26 @@
 
 // What lies under the name of a run but is another's, though as long.
 TEST(StoreDamage, AnotherStoresRun) {
-    SimFiles files, others;
-    (void)record(files, files, 20, 1, 20);
-    (void)record(others, others, 20, 2, 20);
-    const Image image = files.disk().visible(), other = others.disk().visible();
+    const Large large, other(20, 2);
     int runs = 0;
-    for (const auto& [name, content] : image) {
+    for (const auto& [name, content] : large.image) {
         if (!name.ends_with(".run")) continue;
-        ASSERT_TRUE(other.contains(name));
-        ASSERT_EQ(other.at(name).size(), content.size());
+        ASSERT_TRUE(other.image.contains(name));
+        ASSERT_EQ(other.image.at(name).size(), content.size());
         ++runs;
-        Image mixed = image;
-        mixed[name] = other.at(name);
-        SimFiles after(mixed);
-        auto opened = Engine::open(after, small_options(), counting(4));
-        Result result = opened.result;
-        if (opened.engine) result = opened.engine->verify([](const std::string&) {});
-        EXPECT_EQ(result.status, Status::corrupt);
-        EXPECT_TRUE(result.why.starts_with(name)) << result.why;
+        Image mixed = large.image;
+        mixed[name] = other.image.at(name);
+        const Result verified = open(mixed).verified;
+        EXPECT_EQ(verified.status, Status::corrupt);
+        EXPECT_TRUE(verified.why.starts_with(name)) << verified.why;
     }
     EXPECT_GT(runs, 0);
 }
 
 TEST(StoreDamage, NewerVersionsAreRefused) {
-    SimFiles files;
-    (void)record(files, files, 20, 1, 20);
-    const Image image = files.disk().visible();
-    for (const auto& [name, content] : image) {
-        Image newer = image;
+    const Large large;
+    for (const auto& [name, content] : large.image) {
+        Image newer = large.image;
         std::string& bytes = newer[name];
         const auto restate = [&](std::size_t version_at, std::size_t hashed, std::size_t hash_at,
                                  std::size_t from) {
@@ -401,16 +369,10 @@
         if (name.ends_with(".log")) restate(8, 56, 56, 0);
         if (name.ends_with(".manifest")) restate(8, size - 8, size - 8, 0);
         if (name.ends_with(".run")) restate(size - 112 + 88, 96, size - 112 + 96, size - 112);
-        SimFiles after(newer);
-        auto opened = Engine::open(after, small_options(), counting(4));
-        Result result = opened.result;
-        if (name.ends_with(".run") && opened.engine) {
-            result = opened.engine->verify([](const std::string&) {});
-        } else {
-            EXPECT_TRUE(after.operations().empty()) << name;
-        }
-        EXPECT_EQ(result.status, Status::refused) << name;
-        EXPECT_EQ(result.why, name + ": written by a newer version");
+        const Outcome outcome = open(newer);
+        EXPECT_EQ(outcome.verified.status, Status::refused) << name;
+        EXPECT_EQ(outcome.verified.why, name + ": written by a newer version");
+        EXPECT_TRUE(!outcome.changed || (name.ends_with(".run") && outcome.result)) << name;
     }
 }
 
@@ -426,9 +388,7 @@
     WorkloadMaker maker(11);
     while (opened.engine->figures().flushes < 2) {
         const Changes changes = maker.next();
-        const Batch batch = batch_of(*opened.engine, changes);
-        const Batch* const one = &batch;
-        ASSERT_TRUE(opened.engine->write(std::span(&one, 1), true).front().result);
+        ASSERT_TRUE(write(*opened.engine, changes).result);
         model.apply(changes);
         while (opened.engine->figures().flushes < 2 && opened.engine->has_work())
             ASSERT_TRUE(opened.engine->step());
@@ -448,25 +408,22 @@
     for (std::size_t done = 0; done <= operations.size(); ++done) {
         const Operation* const next = done < operations.size() ? &operations[done] : nullptr;
         using Kind = Operation::Kind;
-        const std::string kind = next ? kinds[next->inode] : "";
+        const bool append = next && next->kind == Kind::append, sync = next && next->kind == Kind::sync;
+        const std::string file = append || sync ? kinds[next->inode] : "";
         if (!next) {
             steps.insert("all done");
-        } else if (next->kind == Kind::append && kind == "run") {
-            steps.insert("run half written");
-        } else if (next->kind == Kind::sync && kind == "run") {
-            steps.insert("run written, not synced");
+        } else if (append) {
+            steps.insert(file + " half written");
+        } else if (sync) {
+            steps.insert(file + " written, not synced");
         } else if (next->kind == Kind::create && next->name.ends_with("manifest")) {
             steps.insert("run synced, not named");
-        } else if (next->kind == Kind::append && kind == "manifest") {
-            steps.insert("manifest half written");
-        } else if (next->kind == Kind::sync && kind == "manifest") {
-            steps.insert("manifest written, not synced");
         } else if (next->kind == Kind::sync_folder && manifest_synced) {
             steps.insert("named, folder not synced");
         } else if (next->kind == Kind::remove && folder_synced) {
             steps.insert(next->name.ends_with("manifest") ? "old ones not deleted" : "old ones half deleted");
         }
-        const std::size_t bytes = next && next->kind == Kind::append ? next->bytes.size() : 0;
+        const std::size_t bytes = append ? next->bytes.size() : 0;
         for (std::size_t part = 0; part <= bytes; part += 1 + bytes / 50) {
             for (int i = 0; i < 12; ++i) {
                 Cut cut = random_cut(random, {});
@@ -477,17 +434,16 @@
                 // Nothing is left of the other runs.
                 SimFiles after(image);
                 auto again = Engine::open(after, small_options(), counting(2));
-                const auto figures = again.engine->figures();
-                std::uint64_t left = 0;
-                for (const std::string& name : after.disk().names()) left += name.ends_with(".run") ? 1 : 0;
-                ASSERT_EQ(left, figures.runs);
+                const auto left = after.disk().names();
+                ASSERT_EQ(std::ranges::count_if(left, [](auto& name) { return name.ends_with(".run"); }),
+                          static_cast<std::ptrdiff_t>(again.engine->figures().runs));
             }
         }
         // Killed there, and the power cut while or after the next one opens it.
         for (int i = 0; i < 40; ++i) ASSERT_EQ(checker.check_killed(disk, history, 1, 1, random), "") << done;
         if (!next) break;
         if (next->kind == Kind::create) kinds[next->inode] = next->name.substr(11);
-        if (next->kind == Kind::sync && kind == "manifest") manifest_synced = true;
+        if (sync && file == "manifest") manifest_synced = true;
         if (next->kind == Kind::sync_folder && manifest_synced) folder_synced = true;
         disk.apply(*next);
     }
@@ -517,11 +473,9 @@
 
 // A store that could not count its files further is not begun.
 TEST(StoreDamage, AFileOfTheGreatestNumberLetsNoStoreBegin) {
-    const Image image{{"9999999999.log", ""}};
-    SimFiles files(image);
-    const auto opened = Engine::open(files, small_options(), counting(1));
-    EXPECT_EQ(opened.result.status, Status::refused) << opened.result.why;
-    EXPECT_EQ(files.disk().visible(), image);
+    const Outcome outcome = open({{"9999999999.log", ""}});
+    EXPECT_EQ(outcome.result.status, Status::refused) << outcome.result.why;
+    EXPECT_FALSE(outcome.changed);
 }
 
 // A pipe by the name of a log: nobody writes to it, and an opening must not wait for one who does.
--- a/tests/store/engine_test.cpp
+++ b/tests/store/engine_test.cpp
@@ -26,11 +26,7 @@
         EXPECT_TRUE(engine->space("keys", SpaceKind::keys, true, keys));
         EXPECT_TRUE(engine->space("streams", SpaceKind::streams, true, streams));
     }
-    Engine::Written write(const Batch& batch, bool durable = true) {
-        const Batch* const one = &batch;
-        return engine->write(std::span(&one, 1), durable).front();
-    }
-    Status status(const Batch& batch) { return write(batch).result.status; }
+    Status status(const Batch& batch) { return write(*engine, batch).result.status; }
 };
 
 TEST(StoreBounds, KeysValuesAndBatches) {
@@ -38,26 +34,24 @@
     const std::size_t before = store.files.operations().size();
     const std::string key_fits(key_most, 'k'), value_fits(value_most, 'v');
     Batch batch;
+    const auto expect_refused = [&](const char* what) {
+        EXPECT_EQ(store.status(batch), Status::refused) << what;
+        batch = {};
+    };
     batch.put(store.keys, key_fits + "k", "v");
-    EXPECT_EQ(store.status(batch), Status::refused);
-    batch = {};
+    expect_refused("a long key");
     batch.put(store.keys, "", "v");
-    EXPECT_EQ(store.status(batch), Status::refused);
-    batch = {};
+    expect_refused("no key");
     batch.put(store.keys, "k", value_fits + "v");
-    EXPECT_EQ(store.status(batch), Status::refused);
-    batch = {};
+    expect_refused("a long value");
     for (int i = 0; i < 5; ++i) batch.put(store.keys, "k" + std::to_string(i), value_fits);
-    EXPECT_EQ(store.status(batch), Status::refused);
-    batch = {};
+    expect_refused("too much at once");
     for (std::size_t i = 0; i <= operations_most; ++i) batch.put(store.keys, "k", "v");
-    EXPECT_EQ(store.status(batch), Status::refused);
-    batch = {};
+    expect_refused("too many at once");
     batch.append(store.streams, key_fits + "k", "v");
-    EXPECT_EQ(store.status(batch), Status::refused);
+    expect_refused("a long name of a stream");
     EXPECT_EQ(store.files.operations().size(), before);
 
-    batch = {};
     for (int i = 0; i < 3; ++i) batch.put(store.keys, key_fits.substr(1) + std::to_string(i), value_fits);
     EXPECT_EQ(store.status(batch), Status::ok);
     batch = {};
@@ -78,7 +72,7 @@
         Batch batch;
         batch.put(store.keys, std::to_string(i), std::string(value_most, 'v'));
         ASSERT_EQ(store.status(batch), Status::ok);
-        while (store.engine->has_work()) ASSERT_TRUE(store.engine->step());
+        ASSERT_TRUE(finish_work(*store.engine));
     }
     std::vector<Engine::Item> items;
     ASSERT_TRUE(store.engine->scan(store.keys, "", "", 10'000, items));
@@ -89,22 +83,19 @@
 
 TEST(StoreBounds, SpacesAndKinds) {
     Opened store;
-    Batch batch;
-    for (const SpaceId space : {SpaceId{0}, SpaceId{99}, store.streams}) {
-        batch = {};
-        batch.put(space, "nkeys", "v");
-        EXPECT_EQ(store.status(batch), Status::refused) << space;
-        batch = {};
-        batch.erase(space, "nkeys");
-        EXPECT_EQ(store.status(batch), Status::refused) << space;
-    }
-    for (const SpaceId space : {SpaceId{0}, SpaceId{99}, store.keys}) {
-        batch = {};
-        batch.append(space, "s", "v");
-        EXPECT_EQ(store.status(batch), Status::refused) << space;
-        batch = {};
-        batch.trim(space, "s", 1);
-        EXPECT_EQ(store.status(batch), Status::refused) << space;
+    for (const bool streams : {false, true}) {
+        for (const SpaceId space : {SpaceId{0}, SpaceId{99}, streams ? store.keys : store.streams}) {
+            Batch put, erase;
+            if (streams) {
+                put.append(space, "s", "v");
+                erase.trim(space, "s", 1);
+            } else {
+                put.put(space, "nkeys", "v");
+                erase.erase(space, "nkeys");
+            }
+            EXPECT_EQ(store.status(put), Status::refused) << space;
+            EXPECT_EQ(store.status(erase), Status::refused) << space;
+        }
     }
     // One that is refused does not hold up the others.
     Batch good, bad;
@@ -157,7 +148,7 @@
     Opened store;
     Batch batch;
     for (int i = 0; i < 10; ++i) batch.append(store.streams, "s", std::to_string(i));
-    auto written = store.write(batch);
+    auto written = write(*store.engine, batch);
     ASSERT_EQ(written.positions.size(), 10U);
     EXPECT_EQ(written.positions.back(), 9U);
     // All are trimmed, with some of the same group and batch.
@@ -179,7 +170,7 @@
     trim.trim(store.streams, "s", 13);
     ASSERT_EQ(store.status(trim), Status::ok);
     store.engine->compact_all();
-    while (store.engine->has_work()) ASSERT_TRUE(store.engine->step());
+    ASSERT_TRUE(finish_work(*store.engine));
     store.engine.reset();
     auto opened = Engine::open(store.files, {}, counting(2));
     std::uint64_t next = 0;
@@ -234,7 +225,7 @@
     for (int i = 0; i < 4; ++i) {
         write(60);
         store.engine->compact_all();
-        while (store.engine->has_work()) ASSERT_TRUE(store.engine->step());
+        ASSERT_TRUE(finish_work(*store.engine));
         ASSERT_EQ(keys_of(text_of(*store.engine, names(), 9, snapshot)), text);
         ASSERT_EQ(text_of(*store.engine, names()), model.text());
     }
@@ -243,7 +234,7 @@
     store.engine->release_snapshot(snapshot);
     write(20);
     store.engine->compact_all();
-    while (store.engine->has_work()) ASSERT_TRUE(store.engine->step());
+    ASSERT_TRUE(finish_work(*store.engine));
     EXPECT_LT(store.engine->figures().run_bytes, held);
     EXPECT_EQ(text_of(*store.engine, names()), model.text());
 }
@@ -254,7 +245,7 @@
     Batch batch;
     batch.put(store.keys, "k", "some value");
     for (int i = 0; i < 2'000; ++i) {
-        while (store.engine->has_work()) ASSERT_TRUE(store.engine->step());
+        ASSERT_TRUE(finish_work(*store.engine));
         ASSERT_EQ(store.status(batch), Status::ok);
         ASSERT_LT(store.files.disk().bytes(), 20'000U);
     }
@@ -273,7 +264,7 @@
     }
     EXPECT_LT(written, 200);
     EXPECT_TRUE(store.engine->crowded());
-    while (store.engine->has_work()) ASSERT_TRUE(store.engine->step());
+    ASSERT_TRUE(finish_work(*store.engine));
     Batch batch;
     batch.put(store.keys, "k", "v");
     EXPECT_EQ(store.status(batch), Status::ok);
@@ -318,11 +309,9 @@
         make_spaces(*opened.engine, nullptr);
         for (int n = 0; n < 15; ++n) {
             const Changes changes = maker.next();
-            const Batch batch = batch_of(*opened.engine, changes);
-            const Batch* const one = &batch;
-            ASSERT_TRUE(opened.engine->write(std::span(&one, 1), n % 8 == 0).front().result);
+            ASSERT_TRUE(write(*opened.engine, changes, n % 8 == 0).result);
             model.apply(changes);
-            while (opened.engine->has_work()) ASSERT_TRUE(opened.engine->step());
+            ASSERT_TRUE(finish_work(*opened.engine));
         }
         ASSERT_EQ(text_of(*opened.engine, names()), model.text());
         ASSERT_TRUE(opened.engine->verify([](const std::string&) {}));
--- a/tests/store/faults_test.cpp
+++ b/tests/store/faults_test.cpp
@@ -69,10 +69,8 @@
             ASSERT_NO_FATAL_FAILURE(step());
         }
         const Changes changes = maker_.next();
-        const Batch batch = batch_of(*engine_, changes);
-        const Batch* const one = &batch;
         const bool durable = random_() % 3 != 0;
-        const auto written = engine_->write(std::span(&one, 1), durable).front();
+        const auto written = test::write(*engine_, changes, durable);
         note(written.result);
         const bool there = written.result || written.result.status == Status::unknown;
         if (there && written.sequence != history_.states.back().sequence) {
@@ -84,9 +82,7 @@
         }
         if (written.result && durable) least_ = history_.states.size() - 1;
         if (!written.result || (thorough && !results.empty())) check_cut();
-        if (engine_->broken()) {
-            ASSERT_NO_FATAL_FAILURE(after_unknown());
-        }
+        mend();
     }
 
     void step() {
@@ -94,18 +90,14 @@
         const Result result = engine_->step();
         note(result);
         if (!result) check_cut();
-        if (engine_->broken()) {
-            ASSERT_NO_FATAL_FAILURE(after_unknown());
-        }
+        mend();
     }
 
     void sync() {
         const Result result = engine_->sync();
         note(result);
         if (result) least_ = history_.states.size() - 1;
-        if (engine_->broken()) {
-            ASSERT_NO_FATAL_FAILURE(after_unknown());
-        }
+        mend();
     }
 
     // Reads tell what is there or that they failed.
@@ -118,6 +110,11 @@
         }
     }
 
+    // Opens it again where it is closed for good.
+    void mend() {
+        if (engine_->broken()) after_unknown();
+    }
+
     // Nothing more is acknowledged, and reads go on, until it is opened again.
     void after_unknown() {
         ++unknowns;
@@ -125,9 +122,8 @@
         SpaceId id = 0;
         if (engine_->space("lists", SpaceKind::keys, false, id)) {
             batch.put(id, "key", "value");
-            const Batch* const one = &batch;
             for (const bool durable : {true, false}) {
-                ASSERT_EQ(engine_->write(std::span(&one, 1), durable).front().result.status, Status::refused);
+                ASSERT_EQ(test::write(*engine_, batch, durable).result.status, Status::refused);
             }
         }
         ASSERT_EQ(engine_->sync().status, Status::refused);
@@ -140,6 +136,17 @@
         check_cut();
     }
 
+    // A new store with its spaces.
+    void begin() {
+        ASSERT_NO_FATAL_FAILURE(open());
+        spaces();
+    }
+    // A batch, and a step of the background work.
+    void write_and_step() {
+        ASSERT_NO_FATAL_FAILURE(write());
+        step();
+    }
+
     // Whatever a cut left now must do.
     void check_cut() {
         for (int i = 0; i < 2; ++i) {
@@ -194,8 +201,7 @@
 };
 
 void work(Driver& driver, int batches) {
-    ASSERT_NO_FATAL_FAILURE(driver.open());
-    ASSERT_NO_FATAL_FAILURE(driver.spaces());
+    ASSERT_NO_FATAL_FAILURE(driver.begin());
     for (int i = 0; i < batches; ++i) {
         ASSERT_NO_FATAL_FAILURE(driver.write());
         for (std::uint64_t n = driver.random()() % 3; n > 0; --n) ASSERT_NO_FATAL_FAILURE(driver.step());
@@ -311,14 +317,12 @@
                 where.insert(call.name.substr(call.name.find('.') + 1));
             return std::nullopt;
         };
-        ASSERT_NO_FATAL_FAILURE(driver.open());
-        ASSERT_NO_FATAL_FAILURE(driver.spaces());
+        ASSERT_NO_FATAL_FAILURE(driver.begin());
         files.room = room;
         int refused = 0;
         for (int i = 0; i < 200 && refused < 10; ++i) {
             const std::size_t before = driver.results.size();
-            ASSERT_NO_FATAL_FAILURE(driver.write());
-            ASSERT_NO_FATAL_FAILURE(driver.step());
+            ASSERT_NO_FATAL_FAILURE(driver.write_and_step());
             ASSERT_NO_FATAL_FAILURE(driver.read());
             refused = driver.results.size() == before ? 0 : refused + 1;
         }
@@ -379,17 +383,14 @@
 TEST(StoreFaults, FolderTurnsReadOnly) {
     SimFiles files;
     Driver driver(files, 8);
-    ASSERT_NO_FATAL_FAILURE(driver.open());
-    ASSERT_NO_FATAL_FAILURE(driver.spaces());
+    ASSERT_NO_FATAL_FAILURE(driver.begin());
     for (int i = 0; i < 30; ++i) {
-        ASSERT_NO_FATAL_FAILURE(driver.write());
-        ASSERT_NO_FATAL_FAILURE(driver.step());
+        ASSERT_NO_FATAL_FAILURE(driver.write_and_step());
     }
     ASSERT_NO_FATAL_FAILURE(driver.sync());
     files.read_only = true;
     for (int i = 0; i < 10; ++i) {
-        ASSERT_NO_FATAL_FAILURE(driver.write());
-        ASSERT_NO_FATAL_FAILURE(driver.step());
+        ASSERT_NO_FATAL_FAILURE(driver.write_and_step());
         ASSERT_NO_FATAL_FAILURE(driver.read());
     }
     EXPECT_EQ(driver.seen, (std::set<Status>{Status::refused}));
@@ -397,8 +398,7 @@
     files.read_only = false;
     const std::size_t before = driver.results.size();
     for (int i = 0; i < 10; ++i) {
-        ASSERT_NO_FATAL_FAILURE(driver.write());
-        ASSERT_NO_FATAL_FAILURE(driver.step());
+        ASSERT_NO_FATAL_FAILURE(driver.write_and_step());
     }
     EXPECT_EQ(driver.results.size(), before);
     ASSERT_NO_FATAL_FAILURE(driver.open());
@@ -420,8 +420,7 @@
             return Fault{errors[chance() % 3], static_cast<std::size_t>(chance() % 60)};
         };
         Driver driver(files, seed);
-        ASSERT_NO_FATAL_FAILURE(driver.open());
-        ASSERT_NO_FATAL_FAILURE(driver.spaces());
+        ASSERT_NO_FATAL_FAILURE(driver.begin());
         for (int i = 0; i < 100; ++i) {
             failing = true;
             ASSERT_NO_FATAL_FAILURE(driver.write());
@@ -457,8 +456,7 @@
         const Batch nothing;
         before.put(space, "before", "v");
         fails.put(space, "fails", "v");
-        const Batch* const first = &before;
-        ASSERT_TRUE(opened.engine->write(std::span(&first, 1), false).front().result);
+        ASSERT_TRUE(write(*opened.engine, before, false).result);
         files.fault = [&](const Call& call) -> std::optional<Fault> {
             if (call.kind == Call::Kind::append) return Fault{ENOSPC, mended ? 0U : 5U};
             if (call.kind == Call::Kind::truncate && !mended) return Fault{EIO, 0};
--- a/tests/store/format_test.cpp
+++ b/tests/store/format_test.cpp
@@ -46,8 +46,7 @@
     Batch batch;
     batch.put(id, "a", "value");
     batch.erase(id, "ab");
-    const Batch* const pointer = &batch;
-    ASSERT_TRUE(opened.engine->write(std::span(&pointer, 1), true).front().result);
+    ASSERT_TRUE(write(*opened.engine, batch).result);
 
     const Image first = files.disk().visible();
     ASSERT_EQ(first.size(), 3U);
@@ -132,11 +131,9 @@
     EXPECT_EQ(text_of(*opened.engine, names()), text);
     EXPECT_TRUE(opened.engine->verify([](const std::string&) {}));
     // It goes on.
-    const Batch batch = batch_of(*opened.engine, {{Batch::Kind::put, "lists", "new", "x", 0}});
-    const Batch* const one = &batch;
-    EXPECT_TRUE(opened.engine->write(std::span(&one, 1), true).front().result);
+    EXPECT_TRUE(write(*opened.engine, Changes{{Batch::Kind::put, "lists", "new", "x", 0}}).result);
     opened.engine->compact_all();
-    while (opened.engine->has_work()) ASSERT_TRUE(opened.engine->step());
+    ASSERT_TRUE(finish_work(*opened.engine));
 }
 
 }  // namespace
--- a/tests/store/golden.cpp
+++ b/tests/store/golden.cpp
@@ -22,9 +22,7 @@
     Model model = recording.history.last();
     for (int i = 0; i < 4; ++i) {
         const Changes changes = maker.next();
-        const Batch batch = batch_of(*opened.engine, changes);
-        const Batch* const one = &batch;
-        if (opened.engine->write(std::span(&one, 1), true).front().result) model.apply(changes);
+        if (write(*opened.engine, changes).result) model.apply(changes);
     }
     Image image = files.disk().visible();
     image["text"] = model.text();
--- a/tests/store/history.cpp
+++ b/tests/store/history.cpp
@@ -117,14 +117,10 @@
         std::vector<Changes> group;
         for (std::size_t n = 1 + (random() % 4 == 0 ? random() % 3 : 0); n > 0; --n)
             group.push_back(maker.next());
-        std::vector<Batch> made;
-        for (const Changes& changes : group) made.push_back(batch_of(engine, changes));
-        std::vector<const Batch*> pointers;
-        for (const Batch& batch : made) pointers.push_back(&batch);
         const bool durable = random() % 3 != 0;
         const std::size_t before = done();
         mark("write");
-        const auto written = engine.write(pointers, durable);
+        const auto written = write_group(engine, group, durable);
         for (std::size_t b = 0; b < group.size(); ++b) {
             if (!written[b].result) continue;
             const std::uint64_t sequence = written[b].sequence;
@@ -180,13 +176,11 @@
     Random random(states_);
     const Changes changes = {{Batch::Kind::put, "lists", "new", std::to_string(random() % 100), 0},
                              {Batch::Kind::append, "ledger", "a", "new", 0}};
-    const Batch batch = batch_of(engine, changes);
-    const Batch* const one = &batch;
-    const auto written = engine.write(std::span(&one, 1), true);
-    if (!written.front().result) return {"written on: " + told(written.front().result), 0};
+    const auto written = write(engine, changes);
+    if (!written.result) return {"written on: " + told(written.result), 0};
     model.apply(changes);
     History beyond;
-    beyond.add(written.front().sequence, std::make_shared<const Model>(model));
+    beyond.add(written.sequence, std::make_shared<const Model>(model));
     SimFiles after(files.disk().cut(random_cut(random, {})));
     auto last = Engine::open(after, small_options(), counting(states_ + 2));
     if (!last.result) return {"opening after it was written on: " + told(last.result), 0};
@@ -235,13 +229,11 @@
     for (int i = 0; i < 3; ++i) {
         const Changes changes = {{Batch::Kind::put, "lists", "after" + std::to_string(i), "x", 0},
                                  {Batch::Kind::append, "ledger", "b", std::to_string(i), 0}};
-        const Batch batch = batch_of(*opened.engine, changes);
-        const Batch* const one = &batch;
         const std::size_t before = files.operations().size();
-        const auto written = opened.engine->write(std::span(&one, 1), true);
-        if (!written.front().result) return "killed, written on: " + told(written.front().result);
+        const auto written = write(*opened.engine, changes);
+        if (!written.result) return "killed, written on: " + told(written.result);
         model.apply(changes);
-        beyond.add(written.front().sequence, std::make_shared<const Model>(model));
+        beyond.add(written.sequence, std::make_shared<const Model>(model));
         times.push_back({before, files.operations().size()});
         while (random() % 2 == 0 && opened.engine->has_work()) (void)opened.engine->step().status;
     }
--- a/tests/store/merge_test.cpp
+++ b/tests/store/merge_test.cpp
@@ -31,8 +31,7 @@
         }
         Batch batch;
         batch.put(space, std::to_string(random()), std::string(20, 'x'));
-        const Batch* const one = &batch;
-        ASSERT_TRUE(opened.engine->write({&one, 1}, false).front().result);
+        ASSERT_TRUE(write(*opened.engine, batch, false).result);
         greatest = std::max(greatest, opened.engine->figures().level_bytes[1]);
     }
     const auto figures = opened.engine->figures();
--- a/tests/store/model.cpp
+++ b/tests/store/model.cpp
@@ -119,6 +119,29 @@
     return batch;
 }
 
+Engine::Written write(Engine& engine, const Batch& batch, bool durable) {
+    const Batch* const one = &batch;
+    return engine.write(std::span(&one, 1), durable).front();
+}
+Engine::Written write(Engine& engine, const Changes& changes, bool durable) {
+    return write(engine, batch_of(engine, changes), durable);
+}
+
+std::vector<Engine::Written> write_group(Engine& engine, const std::vector<Changes>& group, bool durable) {
+    std::vector<Batch> batches;
+    for (const Changes& changes : group) batches.push_back(batch_of(engine, changes));
+    std::vector<const Batch*> pointers;
+    for (const Batch& batch : batches) pointers.push_back(&batch);
+    return engine.write(pointers, durable);
+}
+
+Result finish_work(Engine& engine) {
+    while (engine.has_work()) {
+        if (Result result = engine.step(); !result) return result;
+    }
+    return Result::ok();
+}
+
 Engine::Chance counting(std::uint64_t seed) {
     auto random = std::make_shared<std::mt19937_64>(seed);
     return [random] { return (*random)(); };
--- a/tests/store/model.h
+++ b/tests/store/model.h
@@ -55,6 +55,13 @@
 // With the spaces' numbers; a space that is not there gets 0.
 Batch batch_of(Engine& engine, const Changes& changes);
 
+// Writes one batch, or some in one group, and tells what came of it.
+Engine::Written write(Engine& engine, const Batch& batch, bool durable = true);
+Engine::Written write(Engine& engine, const Changes& changes, bool durable = true);
+std::vector<Engine::Written> write_group(Engine& engine, const std::vector<Changes>& group, bool durable);
+// All the background work that there is; or what failed.
+Result finish_work(Engine& engine);
+
 // Numbers that are the same in each run.
 Engine::Chance counting(std::uint64_t seed);
 
--- a/tests/store/model_test.cpp
+++ b/tests/store/model_test.cpp
@@ -67,11 +67,7 @@
             default: {
                 std::vector<Changes> group;
                 for (std::size_t n = 1 + random() % 3; n > 0; --n) group.push_back(maker.next());
-                std::vector<Batch> batches;
-                for (const Changes& changes : group) batches.push_back(batch_of(engine, changes));
-                std::vector<const Batch*> pointers;
-                for (const Batch& batch : batches) pointers.push_back(&batch);
-                const auto written = engine.write(pointers, random() % 2 == 0);
+                const auto written = write_group(engine, group, random() % 2 == 0);
                 for (std::size_t i = 0; i < group.size(); ++i) {
                     if (written[i].result.status == Status::retry) continue;  // its tables are full
                     ASSERT_TRUE(written[i].result) << written[i].result.why;
--- a/tests/store/salvage_test.cpp
+++ b/tests/store/salvage_test.cpp
@@ -1,6 +1,7 @@
 // What can be read of a damaged store is saved, what is lost is told, and the old one stays as it is.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <set>
 
@@ -27,9 +28,7 @@
         for (const auto& state : recording.history.states) add(*state.model);
         for (int i = 0; i < 6; ++i) {
             const Changes changes = maker.next();
-            const Batch batch = batch_of(*opened.engine, changes);
-            const Batch* const one = &batch;
-            EXPECT_TRUE(opened.engine->write(std::span(&one, 1), true).front().result);
+            EXPECT_TRUE(write(*opened.engine, changes).result);
             model.apply(changes);
             add(model);
         }
@@ -91,18 +90,13 @@
         EXPECT_TRUE(opened.engine->verify([](const std::string&) {}));
         text = text_of(*opened.engine, names(), 50);
         make_spaces(*opened.engine, nullptr);
-        const Batch batch = batch_of(*opened.engine, {{Batch::Kind::put, "lists", "more", "x", 0},
-                                                      {Batch::Kind::append, "ledger", "a", "x", 0},
-                                                      {Batch::Kind::trim, "ledger", "b", {}, 1000}});
-        const Batch* const one = &batch;
-        const auto written = opened.engine->write(std::span(&one, 1), true).front();
+        const auto written = write(*opened.engine, Changes{{Batch::Kind::put, "lists", "more", "x", 0},
+                                                           {Batch::Kind::append, "ledger", "a", "x", 0},
+                                                           {Batch::Kind::trim, "ledger", "b", {}, 1000}});
         EXPECT_TRUE(written.result) << written.result.why;
         opened.engine->compact_all();
-        while (opened.engine->has_work()) {
-            const auto stepped = opened.engine->step();
-            EXPECT_TRUE(stepped) << stepped.why;
-            if (!stepped) break;
-        }
+        const Result finished = finish_work(*opened.engine);
+        EXPECT_TRUE(finished) << finished.why;
     }
 };
 
@@ -128,10 +122,8 @@
             ASSERT_TRUE(salvaged.result) << salvaged.result.why;
             ASSERT_NO_FATAL_FAILURE(written.check(salvaged.text));
             // What is missing has been told, with the file.
-            const bool told =
-                std::any_of(salvaged.told.begin(), salvaged.told.end(),
-                            [&file = name](const std::string& line) { return line.starts_with(file); });
-            ASSERT_TRUE(told);
+            ASSERT_TRUE(std::ranges::any_of(
+                salvaged.told, [&file = name](const std::string& line) { return line.starts_with(file); }));
         }
     }
 }
@@ -165,10 +157,9 @@
         const Salvaged salvaged(image);
         ASSERT_TRUE(salvaged.result);
         // The batches behind it are kept, and those that are gone are told.
-        const bool told = std::any_of(
-            salvaged.told.begin(), salvaged.told.end(),
-            [](const std::string& line) { return line.find("batches of sequence") != std::string::npos; });
-        EXPECT_TRUE(told);
+        EXPECT_TRUE(std::ranges::any_of(salvaged.told, [](const std::string& line) {
+            return line.find("batches of sequence") != std::string::npos;
+        }));
         EXPECT_NE(salvaged.text, written.text);
     }
 }
@@ -176,6 +167,11 @@
 TEST(StoreSalvage, WhereItDoesNotWrite) {
     const Written written(3);
     const auto none = [](const std::string&) {};
+    const auto fails_at = [](std::size_t n) {
+        return [n](const Call& call) {
+            return call.number == n ? std::optional(Fault{EIO, 0}) : std::nullopt;
+        };
+    };
     SimFiles from(written.image), full(written.image);
     EXPECT_EQ(salvage(from, full, counting(1), none).status, Status::refused);
     EXPECT_TRUE(full.operations().empty());
@@ -188,18 +184,14 @@
     }
     for (std::size_t n = 0; n < calls; ++n) {
         SimFiles to;
-        to.fault = [&](const Call& call) {
-            return call.number == n ? std::optional(Fault{EIO, 0}) : std::nullopt;
-        };
+        to.fault = fails_at(n);
         const Result result = salvage(from, to, counting(1), none);
         EXPECT_EQ(result.status, Status::retry) << n << " " << result.why;
     }
     // Reads that fail are losses like others.
     for (std::size_t n = 0; n < 40; ++n) {
         SimFiles sick(written.image), to;
-        sick.fault = [&](const Call& call) {
-            return call.number == n ? std::optional(Fault{EIO, 0}) : std::nullopt;
-        };
+        sick.fault = fails_at(n);
         std::vector<std::string> told;
         const Result result =
             salvage(sick, to, counting(1), [&](const std::string& t) { told.push_back(t); });
