--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <functional>
 #include <map>
+#include <ostream>
 #include <set>
 #include <stdexcept>
 
@@ -12,6 +14,105 @@
 namespace flaxdoor::test {
 namespace {
 
+// -------------------------------------------------------------------- rules 1 and 2: one request, its answer
+
+constexpr auto plain = plain_settings;
+Settings with(const std::function<void(Settings&)>& change) {
+    Settings s = plain_settings();
+    change(s);
+    return s;
+}
+Settings one_attempt() {
+    return with([](Settings& s) { s.max_attempts = 1; });
+}
+Settings one_at_a_time() {
+    return with([](Settings& s) { s.parallel_attempts = false; });
+}
+Settings late_is_worth_nothing() {
+    return with([](Settings& s) { s.classes[unsafe].late_worth = 0; });
+}
+Settings narrow_window() {
+    return with([](Settings& s) { s.classes[keyed_zone].window = ms(30); });
+}  // no gap fits
+
+enum class Answered { not_by_us, refused, failed };
+
+// One request, how its first attempt ends, and what has come of it by its deadline.
+struct Story {
+    const char* name;
+    int class_index;
+    std::optional<Outcome> end;  // none: it does not
+    std::size_t sends;
+    Answered answered;
+    Settings (*settings)() = plain;
+    Settings (*changed)() = nullptr;  // before the end
+    Micros ends_after = ms(1);
+    Micros timeout{};  // of its attempt; zero: whatever it is
+    Micros left = ms(1000);
+};
+std::ostream& operator<<(std::ostream& out, const Story& story) { return out << story.name; }
+
+std::vector<Story> stories() {
+    using enum Outcome;
+    using enum Answered;
+    return {
+        {"UnknownClass", 77, {}, 0, failed},
+        {"NoTimeIsLeft", safe, {}, 0, refused, plain, {}, {}, {}, ms(0)},
+        {"Served", safe, ok, 1, not_by_us},
+        {"ATimeoutAtTheDeadline", unsafe, timeout, 1, failed, plain, {}, ms(1000)},
+        // What may have run is neither sent again nor refused.
+        {"UnsafeError", unsafe, error, 1, failed},
+        {"UnsafeTimeout", unsafe, timeout, 1, failed},
+        {"UnsafeReset", unsafe, reset, 1, failed},
+        {"UnsafeCancelled", unsafe, cancelled, 1, failed},
+        // What has not run is sent again.
+        {"UnsafeFull", unsafe, full, 2, not_by_us},
+        {"UnsafeConnectFailed", unsafe, connect_failed, 2, not_by_us},
+        {"UnsafeMoot", unsafe, moot, 2, not_by_us},
+        {"LastError", unsafe, error, 1, failed, one_attempt},
+        {"LastTimeout", unsafe, timeout, 1, failed, one_attempt},
+        {"LastReset", unsafe, reset, 1, failed, one_attempt},
+        {"LastCancelled", unsafe, cancelled, 1, failed, one_attempt},
+        {"LastFull", unsafe, full, 1, refused, one_attempt},
+        {"LastConnectFailed", unsafe, connect_failed, 1, refused, one_attempt},
+        {"LastMoot", unsafe, moot, 1, refused, one_attempt},
+        {"LastOfAZone", keyed_zone, error, 1, failed, one_attempt},
+        {"LastOfAllUpstreams", keyed_all, error, 1, refused, one_attempt},
+        {"KeyedIsNotSentAfterItsWindow", keyed_zone, error, 1, failed, narrow_window},
+        {"TheWindowGrows", keyed_zone, error, 1, failed, narrow_window, plain_settings},
+        {"TheWindowShrinks", keyed_zone, error, 1, failed, plain, narrow_window},
+        {"NoCopyOfARunningUnsafeOne", unsafe, {}, 1, not_by_us, plain, {}, {}, ms(1000)},
+        {"TheTimerEndsTheAttemptWhereNoCopyMayRun", safe, {}, 1, not_by_us, one_at_a_time, {}, {}, ms(80)},
+        // Guards against upstreams that are held by work which can no longer count: it ends with its aim.
+        {"LateIsWorthNothing", unsafe, timeout, 1, failed, late_is_worth_nothing, {}, ms(100), ms(100)},
+        {"LateCounts", keyed_zone, {}, 1, not_by_us, late_is_worth_nothing, {}, {}, ms(1000)},
+    };
+}
+
+class Stories : public testing::TestWithParam<Story> {};
+
+TEST_P(Stories, EndAsTheyMust) {
+    const Story& story = GetParam();
+    Rig rig(story.settings());
+    rig.fleet(3);
+    const Time deadline = rig.now + story.left;
+    const auto id = rig.request(story.class_index, story.left);
+    if (story.timeout > Micros{0}) {
+        ASSERT_EQ(rig.sink.submits.size(), 1u);
+        EXPECT_EQ(rig.sink.submits[0].timeout, story.timeout);
+    }
+    if (story.changed) rig.policy->on_settings(rig.now, story.changed());
+    rig.run(std::min(deadline, rig.now + story.ends_after));
+    if (story.end) rig.end(id, 0, *story.end, story.ends_after);
+    rig.run(deadline);
+    EXPECT_EQ(rig.sink.sends(id), story.sends);
+    EXPECT_EQ(rig.sink.refused.size(), story.answered == Answered::refused ? 1u : 0u);
+    EXPECT_EQ(rig.sink.failed.size(), story.answered == Answered::failed ? 1u : 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Decide, Stories, testing::ValuesIn(stories()),
+                         [](const auto& its) { return its.param.name; });
+
 // ---------------------------------------------------------------------------- rule 1: one answer, in time
 
 TEST(OneAnswer, NoUpstreamAtAll) {
@@ -30,32 +131,6 @@
     EXPECT_GE(rig.sink.sends(id), 1u);
 }
 
-TEST(OneAnswer, EveryOutcomeOfALastAttempt) {
-    for (const auto outcome : {Outcome::error, Outcome::full, Outcome::timeout, Outcome::connect_failed,
-                               Outcome::reset, Outcome::cancelled, Outcome::moot}) {
-        Settings s = plain_settings();
-        s.max_attempts = 1;
-        Rig rig(s);
-        rig.fleet(3);
-        const auto id = rig.request(unsafe);
-        ASSERT_EQ(rig.sink.sends(id), 1u);
-        rig.end(id, 0, outcome);
-        rig.run(rig.now + ms(1000));
-        EXPECT_EQ(rig.sink.sends(id), 1u);
-        EXPECT_EQ(rig.sink.answers(id), 1u) << static_cast<int>(outcome);
-    }
-}
-
-TEST(OneAnswer, NoneAfterTheClientWasServed) {
-    Rig rig;
-    rig.fleet(3);
-    const auto id = rig.request();
-    rig.end(id, 0, Outcome::ok);
-    rig.run(rig.now + ms(2000));  // the retry timer still fires
-    EXPECT_EQ(rig.sink.sends(id), 1u);
-    EXPECT_EQ(rig.sink.answers(id), 0u);
-}
-
 TEST(OneAnswer, NothingSentAfterTheClientLeft) {
     Rig rig;
     rig.fleet(3);
@@ -75,62 +150,10 @@
     rig.end(id, 0, Outcome::full, ms(1));
     rig.run(rig.now + ms(60));
     EXPECT_EQ(rig.sink.answers(id) + (rig.sink.sends(id) > 1 ? 1 : 0), 1u);
-    const auto late = rig.request(safe, ms(0));
-    EXPECT_EQ(rig.sink.sends(late), 0u);
-    EXPECT_EQ(rig.sink.answers(late), 1u);
-}
-
-TEST(OneAnswer, TimeoutAtTheDeadlineIsAnswered) {
-    Rig rig;
-    rig.fleet(1);
-    const auto id = rig.request(unsafe, ms(200));
-    rig.now += ms(200);
-    rig.end(id, 0, Outcome::timeout, ms(200));
-    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
-}
-
-TEST(OneAnswer, UnknownClassFails) {
-    Rig rig;
-    rig.fleet(1);
-    const auto id = rig.request(77);
-    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
 }
 
 // --------------------------------------------------------------------------- rule 2: no effect twice
 
-TEST(NoEffectTwice, UnsafeThatMayHaveRunIsNeitherSentAgainNorRefused) {
-    for (const auto outcome : {Outcome::error, Outcome::timeout, Outcome::reset, Outcome::cancelled}) {
-        Rig rig;
-        rig.fleet(3);
-        const auto id = rig.request(unsafe);
-        rig.end(id, 0, outcome);
-        rig.run(rig.now + ms(1000));
-        EXPECT_EQ(rig.sink.sends(id), 1u);
-        EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
-        EXPECT_TRUE(rig.sink.refused.empty());
-    }
-}
-
-TEST(NoEffectTwice, UnsafeProvenNotRunIsSentAgain) {
-    for (const auto outcome : {Outcome::full, Outcome::connect_failed, Outcome::moot}) {
-        Rig rig;
-        rig.fleet(3);
-        const auto id = rig.request(unsafe);
-        rig.end(id, 0, outcome, ms(1));
-        rig.run(rig.now + ms(200));
-        EXPECT_EQ(rig.sink.sends(id), 2u);
-    }
-}
-
-TEST(NoEffectTwice, NoCopyOfARunningUnsafeRequest) {
-    Rig rig;
-    rig.fleet(3);
-    const auto id = rig.request(unsafe);
-    rig.run(rig.now + ms(999));
-    EXPECT_EQ(rig.sink.sends(id), 1u);
-    EXPECT_EQ(rig.sink.submits[0].timeout, ms(1000));
-}
-
 TEST(NoEffectTwice, KeyedStaysInItsGroup) {
     Rig rig;
     rig.list(ListKind::full, {Rig::entry(1), Rig::entry(2), Rig::entry(101, 1), Rig::entry(102, 1)});
@@ -178,43 +201,6 @@
     EXPECT_TRUE(rig.sink.refused.empty());
 }
 
-TEST(NoEffectTwice, KeyedIsNotSentAfterItsWindow) {
-    Settings s = plain_settings();
-    for (auto& c : s.classes) c.window = ms(30);  // below the shortest gap
-    Rig rig(s);
-    rig.fleet(3);
-    const auto id = rig.request(keyed_zone);
-    rig.end(id, 0, Outcome::error, ms(1));
-    rig.run(rig.now + ms(1000));
-    EXPECT_EQ(rig.sink.sends(id), 1u);
-    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
-}
-
-TEST(NoEffectTwice, KeyedEverywhereMayBeRefused) {
-    Settings s = plain_settings();
-    s.max_attempts = 1;
-    Rig rig(s);
-    rig.fleet(3);
-    const auto all = rig.request(keyed_all);
-    rig.end(all, 0, Outcome::error, ms(1));
-    EXPECT_EQ(rig.sink.refused, std::vector<RequestId>{all});
-    const auto zone = rig.request(keyed_zone);
-    rig.end(zone, 0, Outcome::error, ms(1));
-    EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{zone});
-}
-
-TEST(NoEffectTwice, OneAttemptAtATimeWhereCopiesAreNotAllowed) {
-    Settings s = plain_settings();
-    s.parallel_attempts = false;
-    Rig rig(s);
-    rig.fleet(3);
-    const auto id = rig.request(safe);
-    ASSERT_EQ(rig.sink.submits.size(), 1u);
-    EXPECT_GT(rig.sink.submits[0].timeout, Micros{0});  // the timer ends the attempt instead
-    rig.run(rig.now + ms(900));
-    EXPECT_EQ(rig.sink.sends(id), 1u);
-}
-
 // ---------------------------------------------------------------------------------- rule 3: drains kept
 
 TEST(Drains, NothingNewToADrainingGoneOrUnlistedUpstream) {
@@ -242,7 +228,7 @@
     const auto out = rig.wave(safe, 2);  // over the aim at most: no copy can go anywhere
     ASSERT_EQ(out.size(), 2u);
     EXPECT_TRUE(rig.sink.closed.empty());
-    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
+    rig.drain({1});
     EXPECT_EQ(rig.sink.closed.size(), 1u);
     rig.now += ms(5);
     rig.end(out[0], 0, Outcome::ok);
@@ -262,7 +248,7 @@
         Rig rig(s);
         rig.fleet(told ? 0 : 2);
         rig.served();
-        rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
+        rig.drain({1});
         EXPECT_TRUE(rig.sink.closed.empty());
     }
 }
@@ -273,11 +259,9 @@
     const auto id = rig.request();
     const auto first = rig.sink.submits[0].upstream;
     rig.end(id, 0, Outcome::error, ms(1));
-    std::vector<UpstreamEntry> changes;
     for (UpstreamId u = 1; u <= 3; ++u) {
-        if (u != first) changes.push_back(Rig::entry(u, 0, UpstreamState::draining));
+        if (u != first) rig.drain({u});
     }
-    rig.list(ListKind::delta, changes);
     rig.run(rig.now + ms(1000));
     EXPECT_EQ(rig.sink.sends(id), 1u);
     EXPECT_EQ(rig.sink.answers(id), 1u);
@@ -341,7 +325,7 @@
     Rig rig;
     rig.fleet(4);
     for (int i = 0; i < 400; ++i) rig.served();
-    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::ready, rig.now)});
+    rig.restart(1);
     const auto before = rig.sink.sends_to(1);
     const auto warm_before = rig.sink.sends_to(2);
     for (int i = 0; i < 200; ++i) rig.served();  // two seconds: one fall span
@@ -370,7 +354,7 @@
             }
         };
         traffic(40);
-        rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::ready, rig.now)});
+        rig.restart(1);
         const auto before = rig.sink.sends_to(1), warm_before = rig.sink.sends_to(2);
         traffic(requests);
         cold += rig.sink.sends_to(1) - before;
@@ -599,9 +583,7 @@
 TEST(Originals, SpillWhenUnderHalfOfTheZoneIsReady) {
     Rig rig;
     rig.fleet(4, 2);
-    rig.list(ListKind::delta,
-             {Rig::entry(1, 0, UpstreamState::draining), Rig::entry(2, 0, UpstreamState::draining),
-              Rig::entry(3, 0, UpstreamState::draining)});
+    rig.drain({1, 2, 3});
     for (int i = 0; i < 40; ++i) rig.served();
     EXPECT_GT(rig.sink.sends_to(101) + rig.sink.sends_to(102), 10u);
 }
@@ -848,17 +830,7 @@
 TEST(Health, FailedConnectionsPutOutAndATrialBringsBack) {
     Rig rig;
     rig.fleet(4);
-    int to_sick = 0;
-    for (int i = 0; i < 60; ++i) {
-        const auto id = rig.request(safe);
-        if (rig.sink.submits.back().upstream == 1) {
-            ++to_sick;
-            rig.end(id, 0, Outcome::connect_failed, ms(1));
-        } else {
-            rig.end(id, 0, Outcome::ok, ms(1));
-        }
-    }
-    EXPECT_LE(to_sick, 3);
+    EXPECT_LE(rig.all_but(1, 60, Outcome::connect_failed), 3);
     rig.now += std::chrono::seconds(5);
     const auto before = rig.sink.sends_to(1);
     for (int i = 0; i < 5; ++i) rig.request(safe);
@@ -868,11 +840,7 @@
 TEST(Health, TrialsReachOtherZonesToo) {
     Rig rig;
     rig.list(ListKind::cached, {Rig::entry(1), Rig::entry(101, 1)});
-    for (int i = 0; i < 60; ++i) {
-        const auto id = rig.request(safe);
-        rig.end(id, 0, rig.sink.submits.back().upstream == 101 ? Outcome::connect_failed : Outcome::ok,
-                ms(1));
-    }
+    rig.all_but(101, 60, Outcome::connect_failed);
     rig.fleet(1, 1);
     rig.now += std::chrono::seconds(5);
     const auto before = rig.sink.sends_to(101);
@@ -885,10 +853,7 @@
     s.may_probe = true;
     Rig rig(s);
     rig.fleet(2);
-    for (int i = 0; i < 30; ++i) {
-        const auto id = rig.request(safe);
-        rig.end(id, 0, rig.sink.submits.back().upstream == 1 ? Outcome::connect_failed : Outcome::ok, ms(1));
-    }
+    rig.all_but(1, 30, Outcome::connect_failed);
     rig.now += std::chrono::seconds(5);
     const auto before = rig.sink.sends_to(1);
     rig.served();
@@ -904,31 +869,12 @@
 TEST(Health, AnUpstreamThatTurnsEverythingAwayIsPutOut) {
     Rig rig;
     rig.fleet(4);
-    int refused_there = 0;
-    for (int i = 0; i < 200; ++i) {
-        const auto id = rig.request(safe);
-        rig.now += ms(1);
-        if (rig.sink.submits.back().upstream == 1) {
-            ++refused_there;
-            rig.end(id, 0, Outcome::full, ms(1));
-        } else {
-            rig.end(id, 0, Outcome::ok, ms(1));
-        }
-    }
-    EXPECT_LE(refused_there, 6);
+    EXPECT_LE(rig.all_but(1, 200, Outcome::full, ms(1)), 6);
 }
 
 // Sends waves until the upstreams are known to take several at once.
 void warm_up(Rig& rig) {
-    for (int round = 0; round < 40; ++round) {
-        std::vector<RequestId> sent;
-        for (int i = 0; i < 24; ++i) {
-            const auto id = rig.request(unsafe);
-            if (rig.sink.sends(id) == 1) sent.push_back(id);
-        }
-        rig.now += ms(4);
-        for (const auto id : sent) rig.end(id, 0, Outcome::ok, ms(4));
-    }
+    for (int round = 0; round < 40; ++round) rig.served_wave(unsafe, 24, ms(4));
 }
 
 TEST(Health, ASilentUpstreamIsLeftAlone) {
@@ -1015,9 +961,7 @@
         Rig rig;
         rig.fleet(3);
         for (int i = 0; i < 100; ++i) rig.served(safe, ms(2));
-        std::vector<UpstreamEntry> added;
-        for (int i = 4; i <= 12; ++i) added.push_back(Rig::entry(static_cast<UpstreamId>(i)));
-        rig.list(ListKind::delta, added);
+        rig.join(4, 12);
         std::set<UpstreamId> met;
         for (int i = 0; i < 60; ++i) {
             const auto id = rig.request(unsafe);
@@ -1044,7 +988,7 @@
     const auto ids = rig.wave(unsafe, 2);
     ASSERT_EQ(ids.size(), 2u);
     for (const auto id : ids) rig.end(id, 0, Outcome::moot, ms(1));
-    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
+    rig.drain({1});
     EXPECT_TRUE(rig.sink.closed.empty());
 }
 
@@ -1052,12 +996,9 @@
     Rig rig;
     rig.fleet(3);
     for (int i = 0; i < 100; ++i) rig.served(safe, ms(2));
-    std::vector<UpstreamEntry> added;
-    for (UpstreamId i = 4; i <= 40; ++i) added.push_back(Rig::entry(i));
-    rig.list(ListKind::delta, added);
-    for (UpstreamId to = 4; to <= 9; ++to)
-        rig.end(rig.pinned(to, unsafe, ms(50)), 0, Outcome::connect_failed, ms(1));
-    for (UpstreamId to = 10; to <= 40; ++to) rig.end(rig.pinned(to, unsafe, ms(50)), 0, Outcome::moot, ms(1));
+    rig.join(4, 40);
+    rig.each_ends(4, 9, Outcome::connect_failed);
+    rig.each_ends(10, 40, Outcome::moot);
     for (int i = 0; i < 30; ++i) {
         const auto id = rig.request(unsafe);
         EXPECT_LE(rig.sink.submits.back().upstream, 3u);  // work stays where a connection is open
@@ -1069,11 +1010,8 @@
     Rig rig;
     rig.fleet(4);
     for (int i = 0; i < 200; ++i) rig.served(safe, ms(2));
-    std::vector<UpstreamEntry> added;
-    for (UpstreamId i = 5; i <= 12; ++i) added.push_back(Rig::entry(i));
-    rig.list(ListKind::delta, added);
-    for (UpstreamId to = 5; to <= 12; ++to)
-        rig.end(rig.pinned(to, unsafe, ms(50)), 0, Outcome::connect_failed, ms(1));
+    rig.join(5, 12);
+    rig.each_ends(5, 12, Outcome::connect_failed);
     const auto failing = rig.pinned(1, unsafe), moot = rig.pinned(1, unsafe);
     rig.end(failing, 0, Outcome::connect_failed, ms(1));
     rig.end(moot, 0, Outcome::moot, ms(1));
@@ -1216,10 +1154,7 @@
 TEST(Pinned, IsATrialOfItsOwnUpstreamOnly) {
     Rig rig;
     rig.fleet(3);
-    for (int i = 0; i < 60; ++i) {
-        const auto id = rig.request(safe);
-        rig.end(id, 0, rig.sink.submits.back().upstream == 1 ? Outcome::connect_failed : Outcome::ok, ms(1));
-    }
+    rig.all_but(1, 60, Outcome::connect_failed);
     rig.now += std::chrono::seconds(5);  // 1 is out, and due for a trial
     EXPECT_EQ(places(rig, rig.pinned(2)), std::set<UpstreamId>{2});
     EXPECT_EQ(places(rig, rig.pinned(1)), std::set<UpstreamId>{1});
@@ -1230,7 +1165,7 @@
     Rig rig;
     rig.fleet(4);
     for (int i = 0; i < 400; ++i) rig.served();
-    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::ready, rig.now)});
+    rig.restart(1);
     const auto before = rig.sink.sends_to(1);
     for (int i = 0; i < 400; ++i) {  // one fall span
         const auto id = rig.pinned(1, unsafe, ms(60));
@@ -1247,11 +1182,8 @@
     Rig rig;
     rig.fleet(3);
     for (int i = 0; i < 100; ++i) rig.served(safe, ms(2));
-    std::vector<UpstreamEntry> added;
-    for (UpstreamId i = 4; i <= 12; ++i) added.push_back(Rig::entry(i));
-    rig.list(ListKind::delta, added);
-    for (UpstreamId to = 4; to <= 9; ++to)
-        rig.end(rig.pinned(to, unsafe, ms(50)), 0, Outcome::connect_failed, ms(1));
+    rig.join(4, 12);
+    rig.each_ends(4, 9, Outcome::connect_failed);
     for (int i = 0; i < 30; ++i) {
         const auto id = rig.request(unsafe);
         EXPECT_LE(rig.sink.submits.back().upstream, 3u);
@@ -1351,25 +1283,6 @@
     EXPECT_GE(wave(ms(4)), 20u);  // and it comes back
 }
 
-// Guards against upstreams that are held by work which can no longer count.
-TEST(AttemptLife, WhereALateAnswerIsWorthNothingTheRequestEndsWithItsAim) {
-    Settings s = plain_settings();
-    s.classes[unsafe].late_worth = 0;
-    Rig rig(s);
-    rig.fleet(3);
-    const auto id = rig.request(unsafe);
-    ASSERT_EQ(rig.sink.sends(id), 1u);
-    EXPECT_EQ(rig.sink.submits[0].timeout, ms(100));  // the aim
-    rig.now += ms(100);
-    rig.end(id, 0, Outcome::timeout, ms(100));
-    EXPECT_EQ(rig.sink.answers(id), 1u);
-    EXPECT_EQ(rig.sink.failed.size(), 1u);  // it may have run: no refusal
-    EXPECT_EQ(rig.sink.sends(id), 1u);
-    const auto other = rig.request(keyed_zone);
-    EXPECT_EQ(rig.sink.submits.back().request, other);
-    EXPECT_EQ(rig.sink.submits.back().timeout, ms(1000));  // its late answers count
-}
-
 // Guards against a start into a crowd, which would teach its latencies as the usual ones.
 // Guards against a stall of the balancer itself: what waited meanwhile ends with the aim that it came with.
 TEST(AttemptLife, WhatWaitedInAStallOfOurOwnEndsWithItsTrueAim) {
@@ -1619,21 +1532,6 @@
     EXPECT_EQ(rig.sink.sends(id), 1u);
 }
 
-TEST(OnSettings, OfAWindowThatChangesTheShorterCounts) {
-    for (const bool shorter : {false, true}) {
-        Settings narrow = plain_settings();
-        for (auto& c : narrow.classes) c.window = ms(30);  // below the shortest gap
-        Rig rig(shorter ? plain_settings() : narrow);
-        rig.fleet(3);
-        const auto id = rig.request(keyed_zone);
-        rig.policy->on_settings(rig.now, shorter ? narrow : plain_settings());
-        rig.end(id, 0, Outcome::error, ms(1));
-        rig.run(rig.now + ms(1000));
-        EXPECT_EQ(rig.sink.sends(id), 1u);
-        EXPECT_EQ(rig.sink.failed, std::vector<RequestId>{id});
-    }
-}
-
 TEST(OnSettings, TenantsKeepWhatTheyHaveLeft) {
     const auto sent_after = [](bool renamed) {
         Settings s = plain_settings();
@@ -1662,7 +1560,7 @@
     for (int i = 0; i < 30; ++i) rig.served();
     EXPECT_EQ(rig.sink.sends_to(1) + rig.sink.sends_to(2) + rig.sink.sends_to(3), before);
 
-    rig.list(ListKind::delta, {Rig::entry(1, 0, UpstreamState::draining)});
+    rig.drain({1});
     EXPECT_TRUE(rig.sink.closed.empty());
     s.drain_close = ms(800);  // the rule is told only now
     s.must_ask_list = true;
@@ -1716,19 +1614,25 @@
         }
         return "";
     };
+    struct Row {
+        const char* told;  // a word of it
+        void (*change)(Settings&);
+    };
+    for (const Row& row : std::vector<Row>{
+             {"rank", [](Settings& s) { s.rank = 5; }},
+             {"zone", [](Settings& s) { s.zone = 2; }},
+             {"tick", [](Settings& s) { s.tick = Micros{0}; }},
+             {"classes", [](Settings& s) { s.classes.clear(); }},
+             {"max_attempts", [](Settings& s) { s.max_attempts = 0; }},
+             {"drain_close", [](Settings& s) { s.drain_close = Micros{-1}; }},
+             {"cold_share", [](Settings& s) { s.cold_share = 0; }},
+             {"ask_within", [](Settings& s) { s.must_ask_list = true; }},
+             {"deadline", [](Settings& s) { s.classes[0].aim = ms(2000); }},
+             {"window", [](Settings& s) { s.classes[keyed_zone].window = Micros{0}; }},
+         }) {
+        EXPECT_NE(refused(row.change).find(row.told), std::string::npos) << row.told;
+    }
     EXPECT_EQ(refused([](Settings&) {}), "");
-    EXPECT_NE(refused([](Settings& s) { s.rank = 5; }).find("rank"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.zone = 2; }).find("zone"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.tick = Micros{0}; }).find("tick"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.max_attempts = 0; }).find("max_attempts"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.drain_close = Micros{-1}; }).find("drain_close"),
-              std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.cold_share = 0; }).find("cold_share"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.must_ask_list = true; }).find("ask_within"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.classes[0].aim = ms(2000); }).find("deadline"), std::string::npos);
-    EXPECT_NE(refused([](Settings& s) { s.classes[keyed_zone].window = Micros{0}; }).find("window"),
-              std::string::npos);
 }
 
 TEST(OddSettings, OneZoneOneUpstreamOneAttemptNoCancelNoReports) {
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -150,6 +150,19 @@
         for (int i = 1; i <= away; ++i) entries.push_back(entry(static_cast<UpstreamId>(100 + i), 1));
         list(ListKind::full, entries);
     }
+    // More of them, in this zone.
+    void join(UpstreamId first, UpstreamId last) {
+        std::vector<UpstreamEntry> entries;
+        for (UpstreamId id = first; id <= last; ++id) entries.push_back(entry(id));
+        list(ListKind::delta, entries);
+    }
+    void drain(std::initializer_list<UpstreamId> ids) {
+        std::vector<UpstreamEntry> entries;
+        for (const UpstreamId id : ids) entries.push_back(entry(id, 0, UpstreamState::draining));
+        list(ListKind::delta, entries);
+    }
+    // A new process under the old name, from now on.
+    void restart(UpstreamId id) { list(ListKind::delta, {entry(id, 0, UpstreamState::ready, now)}); }
     RequestId request(int class_index = safe, Micros left = milliseconds(1000), std::uint64_t key = 0,
                       std::optional<int> tenant = {}) {
         Request r;
@@ -181,12 +194,28 @@
         e.report = std::move(report);
         policy->on_attempt_end(now, e);
     }
+    // An attempt to each of these upstreams, which ends so.
+    void each_ends(UpstreamId first, UpstreamId last, Outcome outcome) {
+        for (UpstreamId to = first; to <= last; ++to) end(pinned(to, unsafe, ms(50)), 0, outcome, ms(1));
+    }
     // One request, answered after `latency`.
     void served(int class_index = safe, Micros latency = milliseconds(10)) {
         const RequestId id = request(class_index);
         now += latency;
         if (sink.sends(id) == 1) end(id, 0, Outcome::ok, latency);
     }
+    // So many requests, of which all but those to one upstream are served; how many those were.
+    int all_but(UpstreamId bad, int count, Outcome its_outcome, Micros between = Micros{0}) {
+        int there = 0;
+        for (int i = 0; i < count; ++i) {
+            const auto id = request(safe);
+            const bool is_bad = sink.submits.back().upstream == bad;
+            there += is_bad;
+            now += between;
+            end(id, 0, is_bad ? its_outcome : Outcome::ok, ms(1));
+        }
+        return there;
+    }
     // Several requests at once: those that were sent.
     std::vector<RequestId> wave(int class_index, int size, std::optional<int> tenant = {}) {
         std::vector<RequestId> sent;
