--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -674,7 +674,10 @@
             std::swap(home_[0], home_[random_.below(home_.size())]);
             std::swap(home_[1], home_[1 + random_.below(home_.size() - 1)]);
         }
-        if (upstreams_[home_[1]].in_flight < upstreams_[home_[0]].in_flight) std::swap(home_[0], home_[1]);
+        const Upstream& a = upstreams_[home_[0]];
+        const Upstream& b = upstreams_[home_[1]];
+        const bool faster = b.in_flight == a.in_flight && b.latency_us < a.latency_us && b.latency_us > 0;
+        if (b.in_flight < a.in_flight || faster) std::swap(home_[0], home_[1]);
     }
 
     // Chance of its own, the same at every balancer.
