--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -653,16 +653,18 @@
             std::erase_if(away_, lost);
             home_.swap(away_);
         }
-        draw_pair(r.request.key);
+        draw_pair(r.request.key, now);
     }
 
     bool drawn_by_key(std::uint64_t key) const { return s_.warm_keys && key != 0; }
 
-    // Moves a fresh pair to the front of the pool, the one with fewer of ours in flight first. The pair is
-    // random; where upstreams do less work for keys that they met lately, chance is the key's own: every
-    // request of a key draws the same two of those that have room, at every balancer, so that popular keys
-    // still have a choice.
-    void draw_pair(std::uint64_t key) {
+    // Moves a fresh pair to the front of the pool, the one with fewer of ours in flight first. Guards against
+    // many balancers with hardly any in flight, who would give slow upstreams as much as fast ones: of equals
+    // the one with the shorter answers, as far as that is remembered, comes first. The pair is random; where
+    // upstreams do less work for keys that they met lately, chance is the key's own: every request of a key
+    // draws the same two of those that have room, at every balancer, so that popular keys still have a
+    // choice.
+    void draw_pair(std::uint64_t key, Time now) {
         if (home_.size() < 2) return;
         if (drawn_by_key(key)) {
             const auto rank = [&](std::size_t i) { return Random(key ^ own_chance(i)).next(); };
@@ -676,7 +678,10 @@
         }
         const Upstream& a = upstreams_[home_[0]];
         const Upstream& b = upstreams_[home_[1]];
-        const bool faster = b.in_flight == a.in_flight && b.latency_us < a.latency_us && b.latency_us > 0;
+        const auto usual = [&](const Upstream& u) {
+            return Fading{u.latency_us, u.answered_at}.now(now, stale_us());
+        };
+        const bool faster = b.in_flight == a.in_flight && usual(b) < usual(a);
         if (b.in_flight < a.in_flight || faster) std::swap(home_[0], home_[1]);
     }
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -596,6 +596,30 @@
     EXPECT_EQ(rig.sink.sends_to(2), 2u);
 }
 
+// With many balancers hardly any has one of its own in flight: slow upstreams would get as much as fast ones.
+TEST(Originals, OfAnEqualPairTheOneWithShorterAnswersUntilThatIsLongAgo) {
+    Rig rig;
+    rig.fleet(2);  // the pair is always the same two
+    const auto lone = [&](Micros slow) {
+        const auto id = rig.request(unsafe);
+        const bool first = rig.sink.submits.back().upstream == 1;
+        const Micros latency = first ? slow : ms(10);
+        rig.now += latency;
+        rig.end(id, 0, Outcome::ok, latency);
+        rig.now += ms(20);
+        return first;
+    };
+    for (int i = 0; i < 20; ++i) lone(ms(25));
+    int slow = 0;
+    for (int i = 0; i < 40; ++i) slow += lone(ms(25));
+    EXPECT_GT(slow, 0);                        // what is long ago is asked again
+    EXPECT_LT(slow, 10);                       // of 40: 20 by chance alone
+    for (int i = 0; i < 80; ++i) lone(ms(5));  // it has become the faster one
+    slow = 0;
+    for (int i = 0; i < 40; ++i) slow += lone(ms(5));
+    EXPECT_GT(slow, 30);
+}
+
 TEST(Originals, SpillWhenUnderHalfOfTheZoneIsReady) {
     Rig rig;
     rig.fleet(4, 2);
