PostgreSQL's backs: a bound that nothing uses goes

Need: clang++ takes an unused constant for an error, and the suite's sanitized build is made with it. Change: output_most in src/pg/back.cpp goes.

--- a/src/pg/back.cpp
+++ b/src/pg/back.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr std::size_t output_most = 256 << 10;
-
 std::string random_nonce() {
     std::string bytes(18, '\0');
     RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
