Comments made whole: blocks that the formatter had broken in mid-sentence

Need: the formatter broke comment lines beyond its width and left a word or two on a line of their own, out of the block's indentation, in some forty blocks under src and include; the enumeration Weights had its words after its closing brace.

No word changed but Weights' (now above it); src/policy/decide.cpp is not touched.

--- a/include/flaxdoor/balancer.h
+++ b/include/flaxdoor/balancer.h
@@ -9,24 +9,19 @@
 //     balancer.async_call(check_in, [](flaxdoor::CallResult result) { ... });
 //
 // Threading: async_call, async_drain, async_close, reconfigure, figures and destruction from any thread;
-// everything of
-//            an instance happens on its executor: the loop of one thread, or a strand of several. Two
-//            instances share nothing: they are as two daemons.
+//            everything of an instance happens on its executor: the loop of one thread, or a strand of
+//            several. Two instances share nothing: they are as two daemons.
 // Handlers:  run on their associated executor (the instance's if they have none), never from within the call
-// that
-//            started them, each exactly once. What one throws goes to whoever runs that executor.
+//            that started them, each exactly once. What one throws goes to whoever runs that executor.
 // Ownership: an instance owns its connections, its part of the descriptors and its log sink. A handler owns
-// all that it
-//            needs and never touches the instance: it may run after the instance has gone.
-// Errors:    nothing throws for what the network does; it stands in the result. Options that can't be
-// used throw
-//            std::invalid_argument, naming the option; an address that can't be listened on throws
+//            all that it needs and never touches the instance: it may run after the instance has gone.
+// Errors:    nothing throws for what the network does; it stands in the result. Options that can't be used
+//            throw std::invalid_argument, naming the option; an address that can't be listened on throws
 //            boost::system::system_error. What the instance's executor throws (no memory) comes out of
 //            async_call, whose handler then does not run; a handler whose own executor throws is lost, with a
 //            line in the log.
 // Process:   it installs no signal handler, reads no environment, writes to no stream, sets no option of the
-// process,
-//            and never stops a loop.
+//            process, and never stops a loop.
 // Life:      the loop should outlive the Balancer. Where it is destroyed first, what is open ends as closed
 //            (handlers of other executors run), and only the Balancer's destruction is allowed after that.
 //            No sink is called once destruction has begun; one at work in another thread may still end.
--- a/include/flaxdoor/blocking_balancer.h
+++ b/include/flaxdoor/blocking_balancer.h
@@ -4,8 +4,7 @@
 //            instance's own thread (in a handler of balancer(), or a sink) it would wait for itself, so it
 //            throws std::logic_error there.
 // Life:      destruction ends every open call as closed and joins the instance's own thread; destroyed on
-// that thread
-//            itself (from a sink, say) it lets it end by itself.
+//            that thread itself (from a sink, say) it lets it end by itself.
 // Errors:    as Balancer's.
 #pragma once
 
--- a/include/flaxdoor/decide.h
+++ b/include/flaxdoor/decide.h
@@ -58,13 +58,9 @@
 // service time in milliseconds, requests served a second, errors a second.
 enum class ReportField { in_flight, queued, utilisation, service_ms, rate, errors, other };
 enum class ReportSource { none, answers, probes };  // in which events load reports come along
-enum class Weights {
-    none,
-    nominal,
-    rough,
-    live
-};  // what UpstreamEntry::weight tells: nothing, the size, the
-    // size give or take, the size less what it holds by now
+// What UpstreamEntry::weight tells: nothing, the size, the size give or take, or the size less what
+// the upstream holds by now.
+enum class Weights { none, nominal, rough, live };
 
 // Weights of the parts of what the operators count, as told; they need not sum to 1.
 struct Goal {
--- a/include/flaxdoor/middleware/socket.h
+++ b/include/flaxdoor/middleware/socket.h
@@ -2,16 +2,14 @@
 // bytes that are still unread. With it as the stream_socket_t of RESTinio's traits
 //
 //   - a client that only ends its sending (HTTP/1.1 lets it) is answered: the end is kept from the framework
-//   until
-//     the answer is written. Whether it still listens shows when a 100 Continue is written to it: one that
-//     has gone answers with a reset, and that is told at once.
+//     until the answer is written. Whether it still listens shows when a 100 Continue is written to it: one
+//     that has gone answers with a reset, and that is told at once.
 //   - an answer is not lost by a reset: only this side ends, and what still comes is read and dropped for a
 //   while.
 //
 // Threading: as the socket that it is: the strand of its connection.   Ownership: its own.
 // Limits:    an end behind several pipelined requests is told with the first answer; who ends its sending
-// amid a
-//            request is held until the framework's time for a request is over.
+//            amid a request is held until the framework's time for a request is over.
 #pragma once
 
 #include <boost/asio/associated_executor.hpp>
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,15 +7,12 @@
 // Threading:   one thread at a time, the one on which all ports are called.
 // Ownership:   ports are borrowed and outlive the core; a pool's Back and Source outlive the pool.
 // Re-entrancy: every function may be called from within any port. Events wait in a queue and are handled one
-// after
-//              another, each followed by the actions that it caused, in order; the stack does not grow with
-//              them.
+//              after another, each followed by the actions that it caused, in order; the stack does not grow
+//              with them.
 // Errors:      what a port or the module throws ends the event that met it, never the queue; it is logged as
-// a
-//              fault, and the call concerned is answered.
+//              a fault, and the call concerned is answered.
 // Answers:     each call taken gets exactly one final answer in its time, unless its front leaves it; nothing
-// is
-//              sent for it after that.
+//              is sent for it after that.
 #pragma once
 
 #include <cstddef>
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -3,8 +3,7 @@
 // Threading:   everything here is called on the core's one thread.
 // Ownership:   all are borrowed, and must outlive the core (a Back or Source: its pool).
 // Re-entrancy: each may call the core from within; what it reports waits its turn in the core's queue. None
-// may
-//              destroy the core or throw for what the world does. One that throws (no memory) has done
+//              may destroy the core or throw for what the world does. One that throws (no memory) has done
 //              nothing.
 #pragma once
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -7,7 +7,7 @@
 // Errors:    the constructor throws std::invalid_argument when the settings contradict themselves, and
 //            boost::system::system_error when the address can't be listened on.
 // Life:      it may be destroyed at any time but from within its own callbacks; what is open then is not
-// answered.
+//            answered.
 #pragma once
 
 #include <functional>
--- a/src/engine/keeper.h
+++ b/src/engine/keeper.h
@@ -4,8 +4,7 @@
 //
 // Threading: the executor's one thread.   Ownership: log and clock are borrowed and outlive it.
 // Errors:    none comes out. What keeps it from keeping is logged, once for each reason; then it does
-// nothing,
-//            or tries again. Files that can't be read stay as they are.
+//            nothing, or tries again. Files that can't be read stay as they are.
 // Bounds:    four writes under way; what comes meanwhile waits in the recorder, which holds one state.
 #pragma once
 
--- a/src/http/back.h
+++ b/src/http/back.h
@@ -2,10 +2,10 @@
 // and load reports. What comes as bytes is the machine's (client_machine.h); here are sockets and time.
 //
 // Threading: the loop's one thread.   Ownership: loop, core, clock and the budget are borrowed and outlive
-// the back. Life:      it must outlive its pool in the core; it may be destroyed any time after that.
+//            the back.
+// Life:      it must outlive its pool in the core; it may be destroyed any time after that.
 // Attempts:  an attempt carries one request on one connection, and a connection one request at a time. What
-// is this
-//            program's own want (no descriptor, no port, the cap on connections) ends it as moot.
+//            is this program's own want (no descriptor, no port, the cap on connections) ends it as moot.
 #pragma once
 
 #include <cstddef>
--- a/src/http/client_machine.h
+++ b/src/http/client_machine.h
@@ -4,9 +4,8 @@
 //
 // Threading: one thread at a time; no locks.   Ownership: nothing is borrowed beyond a call.
 // Results:   receive(), receive_end() and reset() give a result when they end the exchange: exactly one for
-// each
-//            begin(), unless the owner gives up first. They give `unasked` on a connection that carries none.
-//            The owner closes the socket when the state is `over`.
+//            each begin(), unless the owner gives up first. They give `unasked` on a connection that carries
+//            none. The owner closes the socket when the state is `over`.
 // Format:    RFC 9112. Answers to CONNECT are not known here; it is never sent.
 #pragma once
 
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -3,7 +3,7 @@
 // never on how they were split.
 //
 // Format: RFC 9112. A header is parsed once all of it has come, by Boost.Beast; a start line that can't be
-// one is refused as soon as that is certain.
+//         one is refused as soon as that is certain.
 #pragma once
 
 #include <cstddef>
@@ -79,11 +79,9 @@
 
 // Message is Request or Response. Where the end of a message is told must be clear, and told in one way:
 //  - a request with both Content-Length and Transfer-Encoding, or with either one twice (also twice the
-//  same),
-//    is refused, as is a coding other than chunked;
+//    same), is refused, as is a coding other than chunked;
 //  - so is a response, but the same Content-Length twice is taken, as RFC 9112, 6.3 allows; and one that
-//  would
-//    end with its connection is refused, since it can't be told from one that was cut short.
+//    would end with its connection is refused, since it can't be told from one that was cut short.
 template <typename Message>
 class Reader {
 public:
--- a/src/ingress/change.h
+++ b/src/ingress/change.h
@@ -1,8 +1,7 @@
 // What a source (the operator's file, a cluster) tells the loop: tables and pools, as immutable values.
 //
 // Threading: made on any thread, read on the loop's.   Order: changes are applied in the order of their
-// making;
-//            a pool stands in a change only where it differs from what was told before.
+//            making; a pool stands in a change only where it differs from what was told before.
 #pragma once
 
 #include <cstdint>
--- a/src/kube/client.h
+++ b/src/kube/client.h
@@ -1,8 +1,7 @@
 // Calls to one API server over sockets: each gives the answer as it comes, and ends once.
 //
 // Threading: the executor's one thread, also for the handlers.   Ownership: what a call is given is kept
-// until
-//            its end; the client may be destroyed at any time: then nothing more is called.
+//            until its end; the client may be destroyed at any time: then nothing more is called.
 // Names:     the server's name is looked up, where it is one, by the system's resolver.
 // Errors:    the constructor throws std::runtime_error for certificates that can't be used.
 #pragma once
--- a/src/kube/lease.h
+++ b/src/kube/lease.h
@@ -1,8 +1,7 @@
 // Who of several may write: a Lease, taken and renewed as client-go's leader election does. No I/O.
 //
 // Threading: one thread at a time.   Time is an argument; the server's clock is not trusted: a Lease counts
-// as
-//            given up when nobody has touched it for its duration, as seen from here.
+//            as given up when nobody has touched it for its duration, as seen from here.
 // Format:    coordination.k8s.io/v1 Lease.
 #pragma once
 
--- a/src/loop/line_log.h
+++ b/src/loop/line_log.h
@@ -2,7 +2,7 @@
 // descriptor does not take at once is dropped, and how many were is told with the next one that it takes.
 //
 // Threading: one thread.   Ownership: the descriptor is borrowed.   Errors: a descriptor that is closed or
-// broken drops every line.
+//            broken drops every line.
 #pragma once
 
 #include <cstdint>
--- a/src/membership/list.h
+++ b/src/membership/list.h
@@ -2,7 +2,7 @@
 // page, "Discovery"), to members of a pool.
 //
 // Errors: what can't be read throws std::exception with one line that says what; nothing of that list is
-// used.
+//         used.
 #pragma once
 
 #include <cstdint>
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -3,7 +3,8 @@
 //
 // Threading: the loop's one thread.   Ownership: loop, log and sink are borrowed and outlive it.
 // Errors:    what fails is told to the sink as a list of kind `failed`, and logged; nothing throws for the
-// network. Bounds:    two watches and one call at once; a call that is silent for `silence` has failed.
+//            network.
+// Bounds:    two watches and one call at once; a call that is silent for `silence` has failed.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
--- a/src/pg/client_machine.h
+++ b/src/pg/client_machine.h
@@ -2,9 +2,9 @@
 // messages. No clock: the owner minds time.
 //
 // Threading: one thread at a time.   Ownership: views in an event point into the machine, until its next
-// call. Use:       after receive() and each answer, pull next() until it is empty, then write output(). A
-// message is
-//            pulled only when it can be dealt with: what is not pulled stays here, so look at buffered().
+//            call.
+// Use:       after receive() and each answer, pull next() until it is empty, then write output(). A message
+//            is pulled only when it can be dealt with: what is not pulled stays here, so look at buffered().
 // Errors:    what breaks the protocol is told to the client here (FATAL 08P01) and ends the connection.
 // Format:    https://www.postgresql.org/docs/15/protocol-flow.html
 #pragma once
--- a/src/pg/scram.h
+++ b/src/pg/scram.h
@@ -3,7 +3,7 @@
 //
 // Threading: one thread at a time.   Errors: what can't be is told by the result; nothing throws.
 // Cost:      a SaltedPassword takes some milliseconds: ScramSecret keeps the last one, a Verifier is made
-// once.
+//            once.
 #pragma once
 
 #include <optional>
--- a/src/pg/server_machine.h
+++ b/src/pg/server_machine.h
@@ -3,11 +3,9 @@
 // at which byte of its output each message that matters for the rules begins.
 //
 // Threading: one thread at a time.   Ownership: views in an event point into the machine, until its next
-// call;
-//            the secret in the options is borrowed.
+//            call; the secret in the options is borrowed.
 // Use:       after receive() and every call that may bring something, pull next() until it is empty; then
-// write
-//            output() and tell wrote().
+//            write output() and tell wrote().
 // Errors:    `failed` before the login is over, `spoilt` after: the connection is of no use any more, for
 //            whatever reason; nothing comes after that.
 // Format:    https://www.postgresql.org/docs/15/protocol-flow.html
--- a/src/pg/session.h
+++ b/src/pg/session.h
@@ -3,17 +3,14 @@
 // is up. No I/O and no clock.
 //
 // Threading:   one thread at a time.   Ownership: the host and the statements are borrowed; the server's
-// machine
-//              is borrowed between on_link() and release() or the loss of it.
+//              machine is borrowed between on_link() and release() or the loss of it.
 // Re-entrancy: the host may link, refuse or fail from within take_unit(); it must not destroy the session
-// from
-//              within any call.
+//              from within any call.
 // Use:         while can_take(), hand in the client's messages; hand in all events of the linked server.
-// After
-//              each, look at over(): then nothing more is read, and the connection ends once its output is
-//              out.
+//              After each, look at over(): then nothing more is read, and the connection ends once its output
+//              is out.
 // Answers:     each unit gets one: what a server answered, or one ErrorResponse at its first unanswered
-// message.
+//              message.
 #pragma once
 
 #include <cstdint>
--- a/src/pg/stream.h
+++ b/src/pg/stream.h
@@ -2,7 +2,8 @@
 // what the owner has pending is written as the socket takes it.
 //
 // Threading: the loop's one.   Ownership: the owner is borrowed until close() or abandon(); nothing comes
-// after. Life:      held by shared pointers; what the loop holds of it ends soon after close(). Waits: never.
+//            after.
+// Life:      held by shared pointers; what the loop holds of it ends soon after close(). Waits: never.
 #pragma once
 
 #include <memory>
--- a/src/pg/wire.h
+++ b/src/pg/wire.h
@@ -6,8 +6,7 @@
 // Bounds:    a message of a kind that may be large (DataRow, CopyData) is handed out in pieces once it is
 //            larger than Limits::held; any other is held whole, up to Limits::whole.
 // Format:    https://www.postgresql.org/docs/15/protocol-message-formats.html. Integers are big-endian; a
-// length
-//            counts itself but not the byte of the type.
+//            length counts itself but not the byte of the type.
 #pragma once
 
 #include <cstddef>
--- a/src/recovery/belief.h
+++ b/src/recovery/belief.h
@@ -14,8 +14,7 @@
 //   7  The later of all starts that are known counts. One that may be cold is given no more in flight than a
 //      new one.
 //   8  Who died stays out however long ago; who was out for other reasons, until the memory is forgotten.
-//   Each
-//      balancer tries it at a time of its own: those that come back together do not all try it at once.
+//      Each balancer tries it at a time of its own: those that come back together do not all try it at once.
 //   9  When the clock has gone back, no time has passed as far as can be told: times move back with it, and
 //      what fades is forgotten.
 #pragma once
--- a/src/store/run.h
+++ b/src/store/run.h
@@ -2,8 +2,7 @@
 //
 // Threading: one thread at a time for a store's runs and its cache.
 // Errors:    a block whose hash does not match is corrupt, with file and offset; a call on a file that failed
-// is retry
-//            (a read) or as the writer's caller takes it.
+//            is retry (a read) or as the writer's caller takes it.
 #pragma once
 
 #include <cstdint>
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -3,9 +3,8 @@
 //
 // Threading: all functions from any thread; none waits for the disk but open() and close().
 // Callbacks: handed to Options::post, which runs them where the caller wants them and must not run them in
-// the
-//            call; without one they run on the store's thread and must not call close(). Each runs exactly
-//            once, in the order of the requests, unless the store was left to itself (close).
+//            the call; without one they run on the store's thread and must not call close(). Each runs
+//            exactly once, in the order of the requests, unless the store was left to itself (close).
 // Errors:    status.h. A request that the queue has no room for is `retry`, at once, and nothing of it is
 //            done.
 // Bounds:    Options. What is queued is written out before close() returns, or by the thread that is left to
--- a/src/tls/tls.h
+++ b/src/tls/tls.h
@@ -4,7 +4,8 @@
 // Threading: a Context may be shared by channels of one thread; a Channel belongs to one thread.
 // Ownership: a Channel keeps its Context.
 // Errors:    a Context that can't be made throws Error, which names the file; a Channel that has failed says
-// why. Versions:  1.2 and 1.3.
+//            why.
+// Versions:  1.2 and 1.3.
 #pragma once
 
 #include <cstddef>
