Kubeconfig's faults are a table, certificates of the tests tell their own text

The folder on the disk is the store tests' own.

Every wrong file and every assertion is as before; no mutation was run for these. kube_test (27, with these files) and tls_test (5) pass.

--- a/tests/gateway/config_test.cpp
+++ b/tests/gateway/config_test.cpp
@@ -2,26 +2,19 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
 
 #include "kube/yaml.h"
+#include "store/folder_here.h"
 
 namespace flaxdoor::kube {
 namespace {
 
-struct Folder {
-    Folder() {
-        std::string name = (std::filesystem::temp_directory_path() / "kubeXXXXXX").string();
-        path = ::mkdtemp(name.data());
-    }
-    ~Folder() { std::filesystem::remove_all(path); }
+struct Folder : store::test::FolderHere {
     std::string write(const std::string& name, const std::string& text) const {
-        std::ofstream(path / name) << text;
-        return (path / name).string();
+        std::ofstream(path() + "/" + name) << text;
+        return path() + "/" + name;
     }
-    std::filesystem::path path;
 };
 
 std::string kubeconfig(const std::string& user,
@@ -41,12 +34,11 @@
         return "";
     } catch (const std::runtime_error& error) {
         const std::string what = error.what();
-        EXPECT_EQ(what.find(folder.path.string()), 0U) << "it names the file";
+        EXPECT_EQ(what.find(folder.path()), 0U) << "it names the file";
         EXPECT_EQ(what.find('\n'), std::string::npos) << "in one line";
         return what;
     }
 }
-bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 
 TEST(Kubeconfig, TheCurrentContextIsUsed) {
     const Folder folder;
@@ -70,18 +62,19 @@
 }
 
 TEST(Kubeconfig, WhatIsWrongIsSaidInOneLine) {
-    EXPECT_TRUE(has(fault_of("a: [b"), "line 1"));
-    EXPECT_TRUE(has(fault_of("kind: Config\n"), "current-context is not set"));
-    EXPECT_TRUE(has(fault_of("current-context: x\n"), "contexts has no x"));
-    EXPECT_TRUE(has(fault_of(kubeconfig("exec: {command: x}")), "exec is not supported"));
-    EXPECT_TRUE(has(fault_of(kubeconfig("client-key-data: a2V5")), "go together"));
-    EXPECT_TRUE(has(fault_of(kubeconfig("token: x", "server: 10.0.0.1")), "is no URL"));
-    EXPECT_TRUE(has(fault_of(kubeconfig("token: x", "server: https://h:99999")), "bad port"));
-    EXPECT_TRUE(has(fault_of(kubeconfig("token: 7")), "user.token is no string"));
-    EXPECT_TRUE(
-        has(fault_of(kubeconfig("token: x", "server: https://h\n    certificate-authority: none.pem")),
-            "can't be read"));
-    EXPECT_TRUE(has(fault_of("a: &x [1]\na: 2\n"), "twice"));
+    const std::pair<std::string, const char*> wrong[] = {
+        {"a: [b", "line 1"},
+        {"a: &x [1]\na: 2\n", "twice"},
+        {"kind: Config\n", "current-context is not set"},
+        {"current-context: x\n", "contexts has no x"},
+        {kubeconfig("exec: {command: x}"), "exec is not supported"},
+        {kubeconfig("client-key-data: a2V5"), "go together"},
+        {kubeconfig("token: 7"), "user.token is no string"},
+        {kubeconfig("token: x", "server: 10.0.0.1"), "is no URL"},
+        {kubeconfig("token: x", "server: https://h:99999"), "bad port"},
+        {kubeconfig("token: x", "server: https://h\n    certificate-authority: none.pem"), "can't be read"},
+    };
+    for (const auto& [text, part] : wrong) EXPECT_NE(fault_of(text).find(part), std::string::npos) << text;
     EXPECT_EQ(fault_of(kubeconfig("token: x")), "");
 }
 
@@ -90,14 +83,14 @@
     folder.write("ca.crt", "authorities");
     folder.write("token", "secret");
     folder.write("namespace", "booking\n");
-    const Config config = in_cluster("10.96.0.1", "443", folder.path.string());
+    const Config config = in_cluster("10.96.0.1", "443", folder.path());
     EXPECT_EQ(config.host, "10.96.0.1");
     EXPECT_EQ(config.space, "booking");
-    EXPECT_EQ(config.token_file, folder.path.string() + "/token");
-    EXPECT_THROW((void)in_cluster("", "", folder.path.string()), std::runtime_error);
-    EXPECT_THROW((void)in_cluster("10.0.0.1", "x", folder.path.string()), std::runtime_error);
-    std::filesystem::remove(folder.path / "token");
-    EXPECT_THROW((void)in_cluster("10.0.0.1", "443", folder.path.string()), std::runtime_error);
+    EXPECT_EQ(config.token_file, folder.path() + "/token");
+    EXPECT_THROW((void)in_cluster("", "", folder.path()), std::runtime_error);
+    EXPECT_THROW((void)in_cluster("10.0.0.1", "x", folder.path()), std::runtime_error);
+    std::filesystem::remove(folder.path() + "/token");
+    EXPECT_THROW((void)in_cluster("10.0.0.1", "443", folder.path()), std::runtime_error);
 }
 
 TEST(Yaml, ScalarsAreWhatTheToolsTakeThemFor) {
--- a/tests/tls/certificates.h
+++ b/tests/tls/certificates.h
@@ -9,6 +9,8 @@
 #include <filesystem>
 #include <string>
 
+#include "program.h"
+
 namespace flaxdoor::tls::test {
 
 // Its own authority, for this name (a host name; "IP:127.0.0.1" for an address). Files go with it.
@@ -48,6 +50,8 @@
 
     std::string certificate() const { return folder_ + "/certificate.pem"; }
     std::string key() const { return folder_ + "/key.pem"; }
+    std::string certificate_text() const { return flaxdoor::test::content_of(certificate()); }
+    std::string key_text() const { return flaxdoor::test::content_of(key()); }
 
 private:
     std::string folder_;
--- a/tests/tls/tls_test.cpp
+++ b/tests/tls/tls_test.cpp
@@ -3,8 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include <fstream>
-
 #include "tls/certificates.h"
 
 namespace flaxdoor::tls {
@@ -68,15 +66,10 @@
     EXPECT_FALSE(fails(made, other, "")) << "not asked to verify";
 }
 
-std::string text_of(const std::string& path) {
-    std::ifstream file(path);
-    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-}
-
 TEST(Tls, ACertificateByTheNameThatIsAskedFor) {
     const Certificate exact("a.example"), wild("*.w.example"), any("b.test");
     const auto pem = [](const std::string& host, const Certificate& made) {
-        return Context::Named{host, text_of(made.certificate()), text_of(made.key())};
+        return Context::Named{host, made.certificate_text(), made.key_text()};
     };
     const auto several = Context::for_clients({pem("*.w.example", wild), pem("a.example", exact)});
     const auto with_any = Context::for_clients({pem("", any), pem("a.example", exact)});
@@ -94,9 +87,9 @@
     EXPECT_TRUE(met(several, wild, "c.w.example"));
     EXPECT_FALSE(met(several, any, "b.test")) << "nobody has it";
     EXPECT_TRUE(met(with_any, any, "b.test"));
-    EXPECT_EQ(Context::fault_of(text_of(exact.certificate()), text_of(exact.key())), "");
-    EXPECT_NE(Context::fault_of(text_of(exact.certificate()), text_of(wild.key())), "");
-    EXPECT_NE(Context::fault_of("rubbish", text_of(wild.key())), "");
+    EXPECT_EQ(Context::fault_of(exact.certificate_text(), exact.key_text()), "");
+    EXPECT_NE(Context::fault_of(exact.certificate_text(), wild.key_text()), "");
+    EXPECT_NE(Context::fault_of("rubbish", wild.key_text()), "");
     EXPECT_THROW((void)Context::for_clients({{"x", "rubbish", "rubbish"}}), Error);
 }
 
