--- a/tests/core/fakes.h
+++ b/tests/core/fakes.h
@@ -205,16 +205,11 @@
     explicit FakeSource(Trip& its_trip) : trip(its_trip) {}
     void watch() override {
         trip.pass("Source::watch");
-        ++watches;
         if (when_asked) when_asked();
     }
-    void unwatch() override {
-        trip.pass("Source::unwatch");
-        ++unwatches;
-    }
+    void unwatch() override { trip.pass("Source::unwatch"); }
     void fetch() override {
         trip.pass("Source::fetch");
-        ++fetches;
         if (when_asked) when_asked();
     }
     void catch_up() override {
@@ -222,7 +217,6 @@
         if (const auto call = std::exchange(when_caught_up, {})) call();
     }
     Trip& trip;
-    int watches = 0, unwatches = 0, fetches = 0;
     std::function<void()> when_asked, when_caught_up;
 };
 
--- a/tests/store/engine_test.cpp
+++ b/tests/store/engine_test.cpp
@@ -204,39 +204,26 @@
     EXPECT_EQ(elements.front().position, 20'000U);
 }
 
-TEST(StoreSnapshot, HeldOverSeveralCompactions) {
+// What a held snapshot reads is in model_test.cpp; here, that what it held goes with it.
+TEST(StoreSnapshot, WhatItHeldGoesWithIt) {
     Opened store(small_options());
     make_spaces(*store.engine, nullptr);
-    Model model;
-    for (const auto& [space, kind] : names().spaces) model.make_space(space, kind);
     WorkloadMaker maker(4);
-    const auto write = [&](int batches) {
+    const auto write_and_compact = [&](int batches) {
         for (int i = 0; i < batches; ++i) {
             while (store.engine->crowded()) ASSERT_TRUE(store.engine->step());
-            const Changes changes = maker.next();
-            ASSERT_EQ(store.status(batch_of(*store.engine, changes)), Status::ok);
-            model.apply(changes);
+            ASSERT_EQ(store.status(batch_of(*store.engine, maker.next())), Status::ok);
         }
-    };
-    write(60);
-    const std::uint64_t snapshot = store.engine->take_snapshot();
-    const std::string text = keys_of(model.text());
-    std::uint64_t merges = store.engine->figures().merges;
-    for (int i = 0; i < 4; ++i) {
-        write(60);
         store.engine->compact_all();
         ASSERT_TRUE(finish_work(*store.engine));
-        ASSERT_EQ(keys_of(text_of(*store.engine, names(), 9, snapshot)), text);
-        ASSERT_EQ(text_of(*store.engine, names()), model.text());
-    }
-    EXPECT_GE(store.engine->figures().merges, merges + 4);
+    };
+    write_and_compact(60);
+    const std::uint64_t snapshot = store.engine->take_snapshot();
+    for (int i = 0; i < 4; ++i) write_and_compact(60);
     const std::uint64_t held = store.engine->figures().run_bytes;
     store.engine->release_snapshot(snapshot);
-    write(20);
-    store.engine->compact_all();
-    ASSERT_TRUE(finish_work(*store.engine));
+    write_and_compact(1);
     EXPECT_LT(store.engine->figures().run_bytes, held);
-    EXPECT_EQ(text_of(*store.engine, names()), model.text());
 }
 
 // Overwrites of few keys: the table stays small, the log must too.
