--- a/bench/run.py
+++ b/bench/run.py
@@ -29,7 +29,12 @@
             signal.signal(which, lambda *_: os.kill(child, signal.SIGTERM))
         sys.exit(os.waitstatus_to_exitcode(os.waitpid(child, 0)[1]))
     os.setsid()
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+
+    def ended(*_):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)  # a second one would cut off the putting away
+        sys.exit(1)
+
+    signal.signal(signal.SIGTERM, ended)
     try:
         with open("/proc/self/autogroup", "w") as file:
             file.write(str(options.nice))
