--- a/lab/random/stream.cpp
+++ b/lab/random/stream.cpp
@@ -18,7 +18,8 @@
     for (int round = 0; round < 10; ++round) {
         const Product first = multiply(0xD2511F53U, counter[0]);
         const Product second = multiply(0xCD9E8D57U, counter[2]);
-        counter = {second.high ^ counter[1] ^ key[0], second.low, first.high ^ counter[3] ^ key[1], first.low};
+        counter = {second.high ^ counter[1] ^ key[0], second.low, first.high ^ counter[3] ^ key[1],
+                   first.low};
         key[0] += 0x9E3779B9U;
         key[1] += 0xBB67AE85U;
     }
--- a/lab/trace/record.h
+++ b/lab/trace/record.h
@@ -6,6 +6,7 @@
 // Format:    trace/file.h says how records stand in a file.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -13,23 +14,25 @@
 
 enum class Event : std::uint8_t {
     // The clients' view. `who` is a client, `peer` the balancer.
-    asked,       // a try leaves its client; a: how long it waits, us; b: see Asked
-    repeats,     // tells of an asked call: it is a retry; a: the call that it repeats
-    received,    // the final answer reached the client; a: Verdict; b: time to come back, us, 0: none
-    gave_up,     // the client went: nothing is owed to it any more
-    unreached,   // nobody took it: the balancer is dead or refuses connections; a: 1 if its link broke later
+    asked,      // a try leaves its client; a: how long it waits, us; b: see Asked
+    repeats,    // tells of an asked call: it is a retry; a: the call that it repeats
+    received,   // the final answer reached the client; a: Verdict; b: time to come back, us, 0: none
+    gave_up,    // the client went: nothing is owed to it any more
+    unreached,  // nobody took it: the balancer is dead or refuses connections; a: 1 if its link broke later
 
     // The balancers' view. `who` is a balancer.
     taken,         // it has the whole of a call; peer: the client
     final_answer,  // its one final answer; peer: the client; a: Verdict; b: time to come back, us
     sending,       // an attempt's first byte leaves; peer: the server; a: number of the attempt
+    heard,         // it learns how an attempt ended; peer: the server; a: number of the attempt; b: Heard
     came_up,       // the process is up; a: how often it was
     killed,        // it died without a word: what it held is its clients' to repeat
     told_to_end,   // it was asked to end (SIGTERM)
     ended,         // it ended by itself
 
     // The servers' view. `who` is a server, `peer` a balancer.
-    arrived,      // an attempt is whole at the server; a: number of the attempt; b: its work, us on a core of speed 1
+    arrived,      // an attempt is whole at the server; a: number of the attempt; b: its work, us on a core of
+                  // speed 1
     turned_away,  // it never runs; a: number of the attempt
     ran,          // its effect happened; a: number of the attempt; b: 1, or 0 for a repeat that was dropped
     replied,      // its answer left; a: number of the attempt; b: Reply
@@ -46,8 +49,13 @@
     over,     // the world's end; nothing follows
 };
 
+inline constexpr std::size_t event_kinds = static_cast<std::size_t>(Event::over) + 1;
+
 enum class Verdict : std::uint8_t { served, refused, failed };
 enum class Reply : std::uint8_t { ok, error, spoilt };
+// never_left: refused, never came up, or broke before its last byte was written. Only this and turned_away
+// prove to a balancer that the attempt has not run and will not.
+enum class Heard : std::uint8_t { ok, error, turned_away, never_left, reset, timed_out };
 enum class Word : std::uint8_t { ready, draining, gone };
 
 struct Record {
@@ -79,6 +87,9 @@
 
 std::string_view text_of(Event event);
 std::string_view text_of(Verdict verdict);
+std::string_view text_of(Reply reply);
+std::string_view text_of(Heard heard);
+std::string_view text_of(Word word);
 
 // Where a world puts its records. Called on the world's thread, in order.
 class Sink {
--- a/lab/trace/terms.h
+++ b/lab/trace/terms.h
@@ -17,10 +17,12 @@
         std::uint64_t window_us = 0;  // keyed: for so long
         std::uint64_t aim_us = 0, deadline_us = 0;
         double worth = 1, late_worth = 0;
+        friend bool operator==(const Class&, const Class&) = default;
     };
     struct Trouble {
         std::string name;
         std::uint64_t at_us = 0, lasts_us = 0;
+        friend bool operator==(const Trouble&, const Trouble&) = default;
     };
     std::string experiment, variant;
     std::uint64_t seed = 0;
@@ -38,6 +40,7 @@
     std::uint64_t ramp_us = 0;
     double fall_multiple = 0;  // 0: the rule is not told
     std::uint64_t fall_span_us = 0;
+    friend bool operator==(const Terms&, const Terms&) = default;
 };
 
 }  // namespace flaxdoor::lab
