--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -53,39 +53,44 @@
     int waiting_room = 64;                   // beyond what its cores run
     int connections = 80;
     Micros handshake_work{2000};
-    int thrash_from = 0;      // requests in hand beyond which work grows; 0: never
-    double thrash_each = 0;   // by this share for each of them
-    double cold_share = 1;    // of its speed at its start
-    Micros ramp{8600000};     // until all of it
-    double fall_multiple = 0; // sent more than this multiple of what it can do, it falls; 0: never
+    int thrash_from = 0;       // requests in hand beyond which work grows; 0: never
+    double thrash_each = 0;    // by this share for each of them
+    double cold_share = 0.33;  // of its speed at its start
+    Micros ramp{8600000};      // until all of it
+    double fall_multiple = 4;  // sent more than this multiple of what it can do, it falls
     Micros fall_span{1000000};
     Micros report_every{500000};  // its report of load is as old as this at most
 };
 
 struct NetworkModel {
-    Micros local{200};           // one way within a zone
-    Micros between{3000};        // one way from zone to zone
-    double jitter = 0.2;         // of each way, added or not, evenly drawn
-    Micros idle_close{15000000}; // connections are closed when idle for so long
+    Micros local{200};            // one way within a zone
+    Micros between{3000};         // one way from zone to zone
+    double jitter = 0.2;          // of each way, added or not, evenly drawn
+    Micros idle_close{15000000};  // connections are closed when idle for so long
 };
 
 enum class RosterMode { pushed, asked };
 struct RosterModel {
     RosterMode mode = RosterMode::pushed;
-    Micros late_least{100000}, late_most{1000000};  // until a balancer is told, drawn for each change and balancer
-    Micros answers{1000};                           // a call's own time, where it is asked
-    double nonsense = 0;                            // of what it tells, can't be read
+    Micros late_least{100000},
+        late_most{1000000};  // until a balancer is told, drawn for each change and balancer
+    Micros answers{1000};    // a call's own time, where it is asked
+    double nonsense = 0;     // of what it tells, can't be read
 };
 
-enum class Repeats { none, blind, heeding };  // blind: after `wait`; heeding: when they were told to come back
+enum class Repeats {
+    none,
+    blind,
+    heeding
+};  // blind: after `wait`; heeding: when they were told to come back
 struct ClientModel {
     int count = 1000;
     double rate = 600;            // calls a second of all of them
     double patience_least = 0.7;  // of the class's deadline: when a try is given up, drawn for each
     Repeats repeats = Repeats::none;
-    int repeats_most = 1;  // of one call
-    Micros wait{200000};   // before a repeat, from half to one and a half times this
-    double leave = 0;      // share that closes its connection before its time
+    int repeats_most = 1;       // of one call
+    Micros wait{200000};        // before a repeat, from half to one and a half times this
+    double leave = 0;           // share that closes its connection before its time
     std::vector<double> shape;  // factors of the rate over equal parts of the time; empty: even
 };
 
@@ -134,15 +139,16 @@
 
 struct Expectation {
     enum class Of {
-        rules,         // none broken
-        served,        // least share of worth served in time (`on`: class or tenant; empty: all)
-        answered,      // least share of calls served
-        refused,       // greatest share
-        failed,        // greatest share
-        p99,           // greatest, of served calls (`on`: class; empty: all)
-        recovers,      // greatest time from the end of a trouble (`on`) to a second with 0.99 of the service before it
-        falls,         // greatest number of cold servers pushed over
-        memory,        // greatest growth of open calls from the first third to the last, as a factor
+        rules,     // none broken
+        served,    // least share of worth served in time (`on`: class or tenant; empty: all)
+        answered,  // least share of calls served
+        refused,   // greatest share
+        failed,    // greatest share
+        p99,       // greatest, of served calls (`on`: class; empty: all)
+        recovers,  // greatest time from the end of a trouble (`on`) to a second with 0.99 of the service
+                   // before it
+        falls,     // greatest number of cold servers pushed over
+        memory,    // greatest growth of open calls from the first third to the last, as a factor
     };
     Of of = Of::rules;
     std::string on;
--- a/lab/fleet/balancers.cpp
+++ b/lab/fleet/balancers.cpp
@@ -68,7 +68,10 @@
 }
 
 // One process: it lives from its start until it is killed or ends.
-class Balancers::Process final : public core::Clock, public core::Alarm, public core::Log, public core::Front {
+class Balancers::Process final : public core::Clock,
+                                 public core::Alarm,
+                                 public core::Log,
+                                 public core::Front {
 public:
     Process(Balancers& owner, std::uint32_t number)
         : owner_(owner),
@@ -89,7 +92,8 @@
         for (auto& side : sides_) {
             if (!side) continue;
             core_.on_list(side->id, its_.kept[side->pool]);
-            if (parts_.experiment.roster.mode == RosterMode::pushed) parts_.roster->watch(number_, side->pool);
+            if (parts_.experiment.roster.mode == RosterMode::pushed)
+                parts_.roster->watch(number_, side->pool);
         }
     }
 
@@ -243,7 +247,8 @@
             const auto found = flights.find(key);
             if (found == flights.end()) return;
             const Flight* const flight = process.parts_.flights->find(found->second);
-            process.end(found->second, flight->phase == Flight::Phase::out ? Outcome::timeout : Outcome::moot);
+            process.end(found->second,
+                        flight->phase == Flight::Phase::out ? Outcome::timeout : Outcome::moot);
         }
         void close_idle(UpstreamId upstream) override { close_all(upstream); }
         void watch() override { process.parts_.roster->watch(process.number_, pool); }
@@ -294,6 +299,20 @@
 
     static core::Options options() { return {}; }
 
+    static Heard heard(Outcome outcome, bool whole) {
+        switch (outcome) {
+            case Outcome::ok: return Heard::ok;
+            case Outcome::error: return Heard::error;
+            case Outcome::full: return Heard::turned_away;
+            case Outcome::reset: return Heard::reset;
+            case Outcome::connect_failed:
+            case Outcome::moot: return Heard::never_left;
+            case Outcome::timeout:
+            case Outcome::cancelled: break;
+        }
+        return whole ? Heard::timed_out : Heard::never_left;
+    }
+
     void add_pool(std::uint32_t pool, Settings settings, std::uint64_t seed) {
         sides_[pool] = std::make_unique<Side>(*this, pool);
         sides_[pool]->id = core_.add_pool({pool == 0 ? "nodes" : "postgres", std::move(settings), seed},
@@ -364,8 +383,8 @@
                             parts_.network->way(server.zone, its_.zone, flight.stream);
         const Micros late = parts_.network->late_connect(flight.stream);
         const bool up = server.up;
-        parts_.scheduler.set(parts_.now() + trip + late, up ? What::connected : What::connect_refused, number_,
-                             handle);
+        parts_.scheduler.set(parts_.now() + trip + late, up ? What::connected : What::connect_refused,
+                             number_, handle);
     }
 
     void write(std::uint64_t handle) {
@@ -407,6 +426,8 @@
                 parts_.servers->drop_connection(flight->server, flight->link);
             }
         }
+        parts_.note(Event::heard, number_, flight->server, flight->call, flight->number,
+                    static_cast<std::uint64_t>(heard(outcome, out && outcome != Outcome::moot)));
         core::AttemptResult result;
         result.key = flight->key;
         result.outcome = outcome;
@@ -448,7 +469,8 @@
 void Balancers::begin() {
     for (std::uint32_t b = 0; b < balancers_.size(); ++b) {
         if (parts_.experiment.fleet.knows_start) {
-            for (const std::uint32_t pool : {0U, 1U}) balancers_[b].kept[pool] = parts_.roster->first_list(pool);
+            for (const std::uint32_t pool : {0U, 1U})
+                balancers_[b].kept[pool] = parts_.roster->first_list(pool);
         }
         start(b);
     }
--- a/lab/fleet/balancers.h
+++ b/lab/fleet/balancers.h
@@ -62,7 +62,7 @@
 
     // The roster's.
     void list(std::uint32_t balancer, std::uint32_t pool, core::MemberList list);
-    std::size_t open() const;  // calls of all
+    std::size_t open() const;       // calls of all
     core::Figures figures() const;  // summed over the processes that run
 
 private:
--- a/lab/fleet/clients.cpp
+++ b/lab/fleet/clients.cpp
@@ -42,15 +42,18 @@
         Client client{.stream = Stream(e.seed, Whose::client, static_cast<std::uint64_t>(i))};
         // The middle of its part: zones and tenants are dealt out evenly, whatever the number of clients.
         const double place = client.stream.share();
-        client.zone = by_parts(e.fleet.zones, [](const Zone& z) { return z.traffic; }, place);
+        client.zone = by_parts(
+            e.fleet.zones, [](const Zone& z) { return z.traffic; }, place);
         const double tenant = client.stream.share();
         if (!e.tenants.empty()) {
-            client.tenant = by_parts(e.tenants, [](const TenantKind& t) { return t.share; }, tenant);
+            client.tenant = by_parts(
+                e.tenants, [](const TenantKind& t) { return t.share; }, tenant);
         }
         client.postgres = i >= e.clients.count;
         clients_.push_back(client);
     }
-    // Arrivals are drawn at the greatest rate that the timetable ever wants and thinned to that of the moment.
+    // Arrivals are drawn at the greatest rate that the timetable ever wants and thinned to that of the
+    // moment.
     double most = 1;
     for (const double part : e.clients.shape) most = std::max(most, part);
     for (const Trouble& trouble : e.troubles) {
@@ -105,12 +108,14 @@
         next.class_index = static_cast<int>(e.classes.size());
         next.work = drawn(e.postgres.work, stream);
     } else {
-        next.class_index = by_parts(e.classes, [](const CallClass& c) { return c.share; }, stream.share());
+        next.class_index = by_parts(
+            e.classes, [](const CallClass& c) { return c.share; }, stream.share());
         const CallClass& its = e.classes[static_cast<std::size_t>(next.class_index)];
         Draw work = its.work;
         next.work = drawn(work, stream);
         const double heavier = heavier_[static_cast<std::size_t>(next.class_index)];
-        next.work = Micros(std::max<std::int64_t>(1, std::llround(static_cast<double>(next.work.count()) * heavier)));
+        next.work =
+            Micros(std::max<std::int64_t>(1, std::llround(static_cast<double>(next.work.count()) * heavier)));
         if (its.told.effect == flaxdoor::Effect::keyed) next.key = static_cast<std::uint32_t>(stream()) | 1U;
     }
     send(next);
@@ -149,7 +154,8 @@
     parts_.note(Event::asked, next.client, next.balancer, next.call,
                 static_cast<std::uint64_t>((next.gives_up - next.asked).count()), asked.packed());
     if (next.number > 0) {
-        parts_.note(Event::repeats, next.client, next.balancer, next.call, next.first << 3U | (next.number - 1U));
+        parts_.note(Event::repeats, next.client, next.balancer, next.call,
+                    next.first << 3U | (next.number - 1U));
     }
     const std::uint32_t balancer = next.balancer, of = next.client;
     const Time leaves_at = next.leaves, gives_up = next.gives_up;
@@ -211,7 +217,8 @@
     tries_.erase(handle);
     // Its balancer learns of it: the connection closes.
     Stream stream(parts_.seed(), Whose::network, over.call, 1);
-    const Micros way = parts_.network->way(clients_[client].zone, parts_.balancers->zone(over.balancer), stream);
+    const Micros way =
+        parts_.network->way(clients_[client].zone, parts_.balancers->zone(over.balancer), stream);
     parts_.scheduler.set(parts_.now() + way, What::try_left, over.balancer, handle);
     again(over, false, Micros{0});
 }
@@ -221,8 +228,9 @@
     if (its.repeats == Repeats::none || over.number >= std::min(its.repeats_most, 7)) return;
     const bool unit = static_cast<std::size_t>(over.class_index) >= parts_.experiment.classes.size();
     // What may have run and must not twice is not asked for again by itself.
-    const bool unsafe = unit || parts_.experiment.classes[static_cast<std::size_t>(over.class_index)].told.effect ==
-                                    flaxdoor::Effect::unsafe;
+    const bool unsafe =
+        unit || parts_.experiment.classes[static_cast<std::size_t>(over.class_index)].told.effect ==
+                    flaxdoor::Effect::unsafe;
     if (unsafe && !refused) return;
     Stream stream(parts_.seed(), Whose::network, over.call, 2);
     const double spread = 0.5 + stream.share();
--- a/lab/fleet/clients.h
+++ b/lab/fleet/clients.h
@@ -40,7 +40,9 @@
 
     void burst(double factor) { burst_ *= factor; }
     void flood(int tenant, double factor) { flood_[static_cast<std::size_t>(tenant)] *= factor; }
-    void heavier(int class_index, double factor) { heavier_[static_cast<std::size_t>(class_index)] *= factor; }
+    void heavier(int class_index, double factor) {
+        heavier_[static_cast<std::size_t>(class_index)] *= factor;
+    }
 
     std::uint32_t count() const { return static_cast<std::uint32_t>(clients_.size()); }
     std::size_t open() const { return tries_.size(); }
--- a/lab/fleet/flights.h
+++ b/lab/fleet/flights.h
@@ -17,17 +17,17 @@
     std::uint32_t pool = 0;
     std::uint32_t server = 0;
     core::AttemptKey key;
-    std::uint64_t call = 0;     // the trace's number
-    std::uint32_t number = 0;   // of the attempt
-    std::uint32_t link = 0;     // which process of the server its connection reaches
+    std::uint64_t call = 0;    // the trace's number
+    std::uint32_t number = 0;  // of the attempt
+    std::uint32_t link = 0;    // which process of the server its connection reaches
     Time sent{};
     Micros work{};
     std::uint32_t effect_key = 0;
     int class_index = 0;
     Phase phase = Phase::connecting;
-    bool fresh = false;    // on a connection of its own that was just made
-    bool breaks = false;   // its connection breaks under it
-    bool awaited = true;   // the balancer still waits for it
+    bool fresh = false;      // on a connection of its own that was just made
+    bool breaks = false;     // its connection breaks under it
+    bool awaited = true;     // the balancer still waits for it
     bool at_server = false;  // the server has it, or it is on its way there
     Report report{};         // of load, that its answer carries
     Stream stream;
--- a/lab/fleet/roster.cpp
+++ b/lab/fleet/roster.cpp
@@ -121,7 +121,8 @@
         list.kind = ListKind::delta;
         list.version = upto;
         for (std::uint64_t n = its.given; n < upto; ++n) {
-            if (parts_.servers->at(changes_[n].server).pool == pool) list.members.push_back(changes_[n].member);
+            if (parts_.servers->at(changes_[n].server).pool == pool)
+                list.members.push_back(changes_[n].member);
         }
     }
     its.given = upto;
@@ -159,8 +160,8 @@
     its.watching = true;
     its.silent = its.wanted = false;
     ++its.call;
-    parts_.scheduler.set(parts_.now() + parts_.experiment.roster.answers, What::roster_answers, balancer, pool,
-                         its.call);
+    parts_.scheduler.set(parts_.now() + parts_.experiment.roster.answers, What::roster_answers, balancer,
+                         pool, its.call);
 }
 
 void Roster::unwatch(std::uint32_t balancer, std::uint32_t pool) {
@@ -173,8 +174,8 @@
     Ear& its = ear(balancer, pool);
     if (its.fetching) return;
     its.fetching = true;
-    parts_.scheduler.set(parts_.now() + parts_.experiment.roster.answers, What::roster_answers, balancer, pool,
-                         its.call);
+    parts_.scheduler.set(parts_.now() + parts_.experiment.roster.answers, What::roster_answers, balancer,
+                         pool, its.call);
 }
 
 void Roster::forget_calls(std::uint32_t balancer) {
--- a/lab/fleet/roster.h
+++ b/lab/fleet/roster.h
@@ -45,7 +45,7 @@
         Word word = Word::ready;
         core::Member member;
     };
-    struct Ear {  // of one balancer and pool
+    struct Ear {                  // of one balancer and pool
         std::uint64_t given = 0;  // changes up to here went into the core
         std::uint64_t call = 0;   // which watch; grows
         bool watching = false;
@@ -62,10 +62,10 @@
     void note_told(std::uint32_t balancer, std::uint64_t upto);
 
     Parts& parts_;
-    core::MemberList first_;             // of both pools
-    std::vector<Change> changes_;        // version n is after the n-th
-    std::vector<std::uint64_t> agent_;   // changes up to here have come to the agent of a balancer
-    std::vector<std::uint64_t> told_;    // changes up to here count as told to its process
+    core::MemberList first_;            // of both pools
+    std::vector<Change> changes_;       // version n is after the n-th
+    std::vector<std::uint64_t> agent_;  // changes up to here have come to the agent of a balancer
+    std::vector<std::uint64_t> told_;   // changes up to here count as told to its process
     std::vector<Ear> ears_;
     Micros late_{};
     int down_ = 0;
--- a/lab/fleet/scheduler.cpp
+++ b/lab/fleet/scheduler.cpp
@@ -6,9 +6,7 @@
 
 namespace {
 
-bool later(const Happening& a, const Happening& b) {
-    return a.at != b.at ? a.at > b.at : a.order > b.order;
-}
+bool later(const Happening& a, const Happening& b) { return a.at != b.at ? a.at > b.at : a.order > b.order; }
 
 }  // namespace
 
--- a/lab/fleet/scheduler.h
+++ b/lab/fleet/scheduler.h
@@ -14,30 +14,30 @@
 namespace flaxdoor::lab {
 
 enum class What : std::uint32_t {
-    client_calls,        // who: client
-    client_repeats,      // who: client; a: its try
-    try_comes,           // who: balancer; a: try
-    try_answered,        // who: client; a: try; b: its answer
-    try_broken,          // who: client; a: try: its link broke without an answer
-    try_given_up,        // who: client; a: try
-    try_left,            // who: balancer; a: try: the balancer learns that its client went
-    connected,           // who: balancer; a: flight
-    connect_refused,     // who: balancer; a: flight
-    flight_comes,        // who: server; a: flight
-    flight_answered,     // who: balancer; a: flight; b: how
-    server_done,         // who: server; a: flight
-    server_reports,      // who: server: a sample of its load
-    alarm,               // who: balancer; a: which of its alarms
-    balancer_up,         // who: balancer
-    balancer_ended,      // who: balancer; a: which process
-    sweep,               // who: balancer: idle connections; a: which process
-    front_forgets,       // who: balancer; a: which process: the layer before it has noticed
-    roster_tells,        // who: balancer; a: change
-    roster_answers,      // who: balancer; a: pool; b: which call
-    watch_checked,       // who: balancer; a: pool; b: which call: is it silent?
-    trouble_begins,      // a: its number
-    trouble_ends,        // a: its number
-    trouble_step,        // a: its number; b: step
+    client_calls,     // who: client
+    client_repeats,   // who: client; a: its try
+    try_comes,        // who: balancer; a: try
+    try_answered,     // who: client; a: try; b: its answer
+    try_broken,       // who: client; a: try: its link broke without an answer
+    try_given_up,     // who: client; a: try
+    try_left,         // who: balancer; a: try: the balancer learns that its client went
+    connected,        // who: balancer; a: flight
+    connect_refused,  // who: balancer; a: flight
+    flight_comes,     // who: server; a: flight
+    flight_answered,  // who: balancer; a: flight; b: how
+    server_done,      // who: server; a: flight
+    server_reports,   // who: server: a sample of its load
+    alarm,            // who: balancer; a: which of its alarms
+    balancer_up,      // who: balancer
+    balancer_ended,   // who: balancer; a: which process
+    sweep,            // who: balancer: idle connections; a: which process
+    front_forgets,    // who: balancer; a: which process: the layer before it has noticed
+    roster_tells,     // who: balancer; a: change
+    roster_answers,   // who: balancer; a: pool; b: which call
+    watch_checked,    // who: balancer; a: pool; b: which call: is it silent?
+    trouble_begins,   // a: its number
+    trouble_ends,     // a: its number
+    trouble_step,     // a: its number; b: step
     end,
 };
 
--- a/lab/fleet/servers.cpp
+++ b/lab/fleet/servers.cpp
@@ -139,7 +139,7 @@
 
 bool Servers::falls(Server& server, Micros work) {
     const auto& e = parts_.experiment.servers;
-    if (!server.cold || e.fall_multiple <= 0) return false;
+    if (!server.cold) return false;
     const Time now = parts_.now();
     if (now - server.started >= e.ramp) {
         server.cold = false;
--- a/lab/fleet/servers.h
+++ b/lab/fleet/servers.h
@@ -52,10 +52,10 @@
     Server& at(std::uint32_t number) { return servers_[number]; }
     const std::vector<Server>& all() const { return servers_; }
 
-    void begin();                                  // those that are there from the beginning come up, warm
-    void start(std::uint32_t number, bool cold);   // a process begins
-    void stop(std::uint32_t number);               // it dies: what it holds breaks
-    bool takes_connection(Server& server);         // counted when it does
+    void begin();                                 // those that are there from the beginning come up, warm
+    void start(std::uint32_t number, bool cold);  // a process begins
+    void stop(std::uint32_t number);              // it dies: what it holds breaks
+    bool takes_connection(Server& server);        // counted when it does
     void drop_connection(std::uint32_t number, std::uint32_t process);
 
     void comes(std::uint32_t number, std::uint64_t flight);
--- a/lab/fleet/troubles.cpp
+++ b/lab/fleet/troubles.cpp
@@ -26,7 +26,8 @@
 // So many of `count`, at least one, drawn without one twice, in the order of their numbers.
 std::vector<std::uint32_t> some(Stream& stream, std::vector<std::uint32_t> all, double share) {
     const auto wanted = std::min<std::size_t>(
-        all.size(), static_cast<std::size_t>(std::max(1.0, std::round(share * static_cast<double>(all.size())))));
+        all.size(),
+        static_cast<std::size_t>(std::max(1.0, std::round(share * static_cast<double>(all.size())))));
     for (std::size_t i = 0; i < wanted; ++i) std::swap(all[i], all[i + stream.below(all.size() - i)]);
     all.resize(wanted);
     std::sort(all.begin(), all.end());
@@ -62,13 +63,16 @@
                 break;
             case Kind::zone_lost:
             case Kind::zone_cut:
-                planned.on = place_of(e.fleet.zones, [](const Zone& z) { return z.name; }, trouble.on);
+                planned.on = place_of(
+                    e.fleet.zones, [](const Zone& z) { return z.name; }, trouble.on);
                 break;
             case Kind::tenant_flood:
-                planned.on = place_of(e.tenants, [](const TenantKind& t) { return t.told.name; }, trouble.on);
+                planned.on = place_of(
+                    e.tenants, [](const TenantKind& t) { return t.told.name; }, trouble.on);
                 break;
             case Kind::heavy:
-                planned.on = place_of(e.classes, [](const CallClass& c) { return c.told.name; }, trouble.on);
+                planned.on = place_of(
+                    e.classes, [](const CallClass& c) { return c.told.name; }, trouble.on);
                 break;
             case Kind::kill_balancers: planned.balancers = some(stream, balancers, trouble.share); break;
             case Kind::roll_balancers: planned.balancers = some(stream, balancers, 1); break;
@@ -80,7 +84,8 @@
             }
         }
         if (replaces(trouble.kind)) {
-            for (const std::uint32_t server : planned.servers) planned.fresh.push_back(parts.servers->plan(server));
+            for (const std::uint32_t server : planned.servers)
+                planned.fresh.push_back(parts.servers->plan(server));
         }
         // Servers that came in place of others may be hit by later troubles.
         for (std::size_t i = 0; i < planned.fresh.size(); ++i) {
@@ -102,8 +107,9 @@
         const std::size_t hit = std::max(planned_[n].servers.size(), planned_[n].balancers.size());
         const std::uint64_t steps = std::clamp<std::uint64_t>(hit, 1, 10);
         for (std::uint64_t s = 0; s < steps; ++s) {
-            parts_.scheduler.set(at + trouble.lasts * static_cast<std::int64_t>(s) / static_cast<std::int64_t>(steps),
-                                 What::trouble_step, 0, n, s << 8U | steps);
+            parts_.scheduler.set(
+                at + trouble.lasts * static_cast<std::int64_t>(s) / static_cast<std::int64_t>(steps),
+                What::trouble_step, 0, n, s << 8U | steps);
         }
     }
 }
@@ -133,7 +139,8 @@
             server_dies(planned.servers[i]);
         });
     } else {
-        part(planned.balancers.size(), [&](std::size_t i) { parts_.balancers->tell_to_end(planned.balancers[i]); });
+        part(planned.balancers.size(),
+             [&](std::size_t i) { parts_.balancers->tell_to_end(planned.balancers[i]); });
     }
 }
 
@@ -185,9 +192,7 @@
                 on ? parts_.balancers->kill(balancer) : parts_.balancers->start(balancer);
             }
             return;
-        case Kind::zone_cut:
-            on ? parts_.network->cut(planned.on) : parts_.network->mend(planned.on);
-            return;
+        case Kind::zone_cut: on ? parts_.network->cut(planned.on) : parts_.network->mend(planned.on); return;
         case Kind::answers_lost: return parts_.network->add_answers_lost(added);
         case Kind::resets: return parts_.network->add_resets(added);
         case Kind::late_connect: return parts_.network->add_late_connect(by);
@@ -201,7 +206,8 @@
             const auto standbys = static_cast<std::uint32_t>(parts_.experiment.postgres.standbys);
             if (parts_.experiment.postgres.rate <= 0) return;
             if (on) return server_dies(first);
-            if (standbys > 0 && parts_.servers->at(first + 1).up) parts_.roster->change(first + 1, Word::ready);
+            if (standbys > 0 && parts_.servers->at(first + 1).up)
+                parts_.roster->change(first + 1, Word::ready);
             return;
         }
         case Kind::replace:
--- a/lab/fleet/world.cpp
+++ b/lab/fleet/world.cpp
@@ -55,15 +55,18 @@
         t.seed = e.seed;
         t.lasts_us = us(e.lasts);
         for (const CallClass& c : e.classes) t.classes.push_back(class_of(c.told));
-        if (e.postgres.rate > 0) t.classes.push_back(class_of(postgres_settings_for(e, 0, 0).classes.front()));
+        if (e.postgres.rate > 0)
+            t.classes.push_back(class_of(postgres_settings_for(e, 0, 0).classes.front()));
         for (const TenantKind& tenant : e.tenants) t.tenants.push_back(tenant.told.name);
         for (const Zone& zone : e.fleet.zones) t.zones.push_back(zone.name);
-        for (const auto& server : servers_.all()) t.server_zones.push_back(static_cast<std::uint8_t>(server.zone));
+        for (const auto& server : servers_.all())
+            t.server_zones.push_back(static_cast<std::uint8_t>(server.zone));
         for (std::uint32_t b = 0; b < balancers_->size(); ++b) {
             t.balancer_zones.push_back(static_cast<std::uint8_t>(balancers_->zone(b)));
         }
         t.clients = clients_->count();
-        for (const Trouble& trouble : e.troubles) t.troubles.push_back({trouble.name, us(trouble.at), us(trouble.lasts)});
+        for (const Trouble& trouble : e.troubles)
+            t.troubles.push_back({trouble.name, us(trouble.at), us(trouble.lasts)});
         t.answer_slack_us = us(e.module.answer_slack);
         t.drain_grace_us = us(e.module.drain_grace);
         t.cold_share = e.servers.cold_share;
@@ -99,7 +102,9 @@
                 break;
             case What::roster_tells: roster_->tells(h.who, h.a); break;
             case What::roster_answers: roster_->answers(h.who, static_cast<std::uint32_t>(h.a), h.b); break;
-            case What::watch_checked: roster_->check_watch(h.who, static_cast<std::uint32_t>(h.a), h.b); break;
+            case What::watch_checked:
+                roster_->check_watch(h.who, static_cast<std::uint32_t>(h.a), h.b);
+                break;
             case What::trouble_begins: troubles_->begins(h.a); break;
             case What::trouble_ends: troubles_->ends(h.a); break;
             case What::trouble_step: troubles_->step(h.a, h.b); break;
