Lab: tests of judge, trace file, random streams and stories; rooms of the lab held by a test

Need: the judge must be shown to find what it is for, and to be silent in honest worlds.

Change: 33 worlds in one table, each with an honest twin; trace files cut and changed at every byte; Philox against the published vectors; 2 million calls with a bound on what the judge holds; stories. architecture_test.sh knows the lab's rooms: src never includes them, the judge only trace and the standard library.

--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Arrows go one way: each folder under src/ may include from those named here, and from itself. Called with a folder of
-# its own, it judges that one: so that the check itself is tested.
+# Arrows go one way: each folder under src/ may include from those named here, and from itself; lab/ has a list of its
+# own. The check itself is tested below.
 cd "$(dirname "$0")/.." || exit 1
 fail() { echo "$1"; exit 1; }
 
@@ -31,11 +31,31 @@
     esac
 }
 
+# The lab's own rooms, and those of src/ that they may use. What it judges with knows nothing of what it judges.
+allowed_in_lab() {
+    case $1 in
+        random) echo "" ;;
+        trace) echo "" ;;
+        judge) echo "trace" ;;
+        experiment) echo "settings" ;;
+        fleet) echo "core experiment flaxdoor random trace" ;;
+        run) echo "experiment fleet judge trace" ;;
+        report) echo "run trace" ;;
+        hunt) echo "experiment random run" ;;
+        explore) echo "experiment fleet judge trace" ;;
+        real) echo "experiment run standins trace" ;;
+        apps) echo "experiment explore fleet hunt judge real report run trace" ;;
+        *) echo "unknown" ;;
+    esac
+}
+
+# A folder, and whose list: allowed or allowed_in_lab.
 judge() {
     bad=0
     for folder in "$1"/*/; do
         name=$(basename "$folder")
-        may=" $name flaxdoor $(allowed "$name") "
+        may=" $name $($2 "$name") "
+        [ "$2" = allowed ] && may="$may flaxdoor "
         case $may in *" unknown "*) echo "$folder: not in the list of tests/architecture_test.sh"; bad=1; continue ;; esac
         for used in $(grep -rhoE '^#include "[^"/]+/' "$folder" | sed 's/.*"//; s,/,,' | sort -u); do
             case $may in
@@ -43,16 +63,19 @@
                 *) grep -rnE "^#include \"$used/" "$folder" | head -n 1; bad=1 ;;
             esac
         done
-        # Machines and decisions know no sockets and no clock.
+        # Machines, decisions and worlds know no sockets and no clock.
         case $name in
-            core | policy | recovery | routes | gateway)
+            core | policy | recovery | routes | gateway | random | trace | judge | fleet | explore)
                 if grep -rnE '#include <(boost/asio|sys/socket|unistd)|_clock::now' "$folder"; then bad=1; fi ;;
         esac
     done
     return $bad
 }
 
-judge src || fail "an arrow goes the wrong way"
+judge src allowed || fail "an arrow goes the wrong way"
+judge lab allowed_in_lab || fail "an arrow of the lab goes the wrong way"
+if grep -rnE '#include <.*[/.]' lab/judge; then fail "the judge uses more than the standard library"; fi
+if grep -rnE '#include "(.*/)?lab/' src include; then fail "src uses the lab"; fi
 if grep -nE '#include <boost/asio/(ip|io_context|steady_timer|post|read|write|signal)|_clock::now' src/http/*_machine.* src/http/message.* src/http/platform.* src/http/reader.* \
     src/membership/*_machine.h src/membership/list.* src/pg/*_machine.* src/pg/pool.* src/pg/scram.* src/pg/session.* \
     src/pg/sql.* src/pg/wire.* src/tls/* src/kube/answer.* src/kube/reflector.* src/kube/lease.* src/kube/config.* src/kube/yaml.* \
@@ -64,11 +87,21 @@
 scratch=$(mktemp -d) && trap 'rm -rf "$scratch"' EXIT
 mkdir -p "$scratch/core" "$scratch/elsewhere"
 echo '#include "core/core.h"' >"$scratch/core/x.cpp"
-judge "$scratch" >/dev/null && fail "an unknown folder passed"
+judge "$scratch" allowed >/dev/null && fail "an unknown folder passed"
 rmdir "$scratch/elsewhere"
-judge "$scratch" >/dev/null || fail "a folder that includes its own failed"
+judge "$scratch" allowed >/dev/null || fail "a folder that includes its own failed"
 echo '#include "http/front.h"' >"$scratch/core/x.cpp"
-judge "$scratch" >/dev/null && fail "the core including HTTP passed"
+judge "$scratch" allowed >/dev/null && fail "the core including HTTP passed"
 echo '#include <boost/asio/post.hpp>' >"$scratch/core/x.cpp"
-judge "$scratch" >/dev/null && fail "the core including Asio passed"
+judge "$scratch" allowed >/dev/null && fail "the core including Asio passed"
+rm -r "$scratch/core" && mkdir "$scratch/judge"
+echo '#include "trace/record.h"' >"$scratch/judge/x.cpp"
+judge "$scratch" allowed_in_lab >/dev/null || fail "the judge including the trace failed"
+judge "$scratch" allowed >/dev/null && fail "a room of the lab in src passed"
+for other in core/core.h flaxdoor/decide.h fleet/world.h random/stream.h; do
+    echo "#include \"$other\"" >"$scratch/judge/x.cpp"
+    judge "$scratch" allowed_in_lab >/dev/null && fail "the judge including $other passed"
+done
+mkdir "$scratch/core" && echo '#include "trace/record.h"' >"$scratch/core/x.cpp" && rm -r "$scratch/judge"
+judge "$scratch" allowed >/dev/null && fail "the core including the lab passed"
 exit 0
--- /dev/null
+++ b/tests/lab/trace_test.cpp
@@ -0,0 +1,233 @@
+// Trace files: what is written is read; what was cut or changed is told, and what is read before is a
+// beginning.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <sstream>
+#include <vector>
+
+#include "random/stream.h"
+#include "trace/file.h"
+#include "world.h"
+
+namespace flaxdoor::lab {
+namespace {
+
+// Records of all kinds, with small and with the largest numbers.
+std::vector<Record> drawn(std::uint64_t seed, std::size_t n) {
+    Stream stream(seed, Whose::hunt, 1);
+    std::vector<Record> records;
+    std::uint64_t at = 0;
+    const auto number = [&] { return stream() >> stream.below(65) % 64; };
+    for (std::size_t i = 0; i < n; ++i) {
+        at += stream.chance(0.3) ? 0 : stream.below(1000);
+        records.push_back({at, static_cast<Event>(stream.below(event_kinds)),
+                           static_cast<std::uint32_t>(number()), static_cast<std::uint32_t>(number()),
+                           stream.chance(0.2) ? 0 : number(), stream.chance(0.5) ? 0 : number(),
+                           stream.chance(0.5) ? 0 : number()});
+    }
+    return records;
+}
+
+struct Written {
+    std::string bytes;
+    TraceWriter::Done done;
+};
+
+Written written(const Terms& terms, const std::vector<Record>& records) {
+    std::ostringstream out;
+    TraceWriter writer(out, terms);
+    for (const Record& record : records) writer.put(record);
+    const auto done = writer.finish();
+    EXPECT_TRUE(done);
+    return {out.str(), done.value_or(TraceWriter::Done{})};
+}
+
+struct Back {
+    std::optional<Terms> terms;
+    std::vector<Record> records;
+    bool whole = false;
+    Damage damage;
+    Digest digest;
+};
+
+Back read_back(const std::string& bytes) {
+    std::istringstream in(bytes);
+    TraceReader reader(in);
+    Back back;
+    back.terms = reader.head();
+    Record record;
+    TraceReader::Next next;
+    while ((next = reader.next(record)) == TraceReader::Next::record) back.records.push_back(record);
+    back.whole = next == TraceReader::Next::end;
+    EXPECT_EQ(reader.next(record), next) << "it stays so";
+    back.damage = reader.damage();
+    back.digest = reader.digest();
+    return back;
+}
+
+bool begins(const std::vector<Record>& all, const std::vector<Record>& beginning) {
+    return beginning.size() <= all.size() && std::equal(beginning.begin(), beginning.end(), all.begin());
+}
+
+TEST(TraceFile, ReadsWhatWasWritten) {
+    const Terms terms = terms_of_tests();
+    for (const std::size_t n : {0U, 1U, 2U, 100U, 20000U}) {
+        const std::vector<Record> records = drawn(n, n);
+        const Written file = written(terms, records);
+        const Back back = read_back(file.bytes);
+        ASSERT_TRUE(back.whole) << n << ": " << back.damage.text();
+        EXPECT_EQ(back.terms, terms);
+        EXPECT_EQ(back.records, records) << n;
+        EXPECT_EQ(back.digest, file.done.digest);
+        EXPECT_EQ(file.done.records, n);
+        EXPECT_EQ(file.done.bytes, file.bytes.size());
+
+        DigestSink sink;
+        for (const Record& record : records) sink.put(record);
+        EXPECT_EQ(sink.finish(), file.done.digest);
+        EXPECT_EQ(sink.records(), n);
+    }
+}
+
+// Everywhere the same: a format that changed must say so by its version.
+TEST(TraceFile, HasAKnownDigest) {
+    DigestSink sink;
+    for (const Record& record : drawn(7, 10000)) sink.put(record);
+    EXPECT_EQ(sink.finish().text(), "e0f1aa04bbc804159ff1b889ebfd241c");
+}
+
+TEST(TraceFile, DigestTellsOneRecordFromAnother) {
+    std::vector<Record> records = drawn(3, 50);
+    const Digest digest = written({}, records).done.digest;
+    records[20].b ^= 1;
+    EXPECT_NE(written({}, records).done.digest, digest);
+    EXPECT_NE(written({}, {}).done.digest, digest);
+}
+
+TEST(TraceFile, CutAtEveryByteIsTold) {
+    const std::vector<Record> records = drawn(1, 300);
+    const std::string whole = written(terms_of_tests(), records).bytes;
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        const Back back = read_back(whole.substr(0, size));
+        ASSERT_FALSE(back.whole) << size;
+        ASSERT_TRUE(begins(records, back.records)) << size;
+        ASSERT_LE(back.damage.place, size);
+        ASSERT_NE(back.damage.what, "");
+    }
+}
+
+TEST(TraceFile, EveryFlippedByteIsTold) {
+    const std::vector<Record> records = drawn(2, 100);
+    const std::string whole = written(terms_of_tests(), records).bytes;
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        for (const int mask : {0x01, 0x80, 0xff}) {
+            std::string bytes = whole;
+            bytes[at] = static_cast<char>(bytes[at] ^ mask);
+            const Back back = read_back(bytes);
+            ASSERT_FALSE(back.whole) << at << " ^ " << mask;
+            ASSERT_TRUE(begins(records, back.records)) << at;
+            ASSERT_NE(back.damage.what, "");
+        }
+    }
+}
+
+// Blocks that change places, that come twice or that are left out, in a file of several.
+TEST(TraceFile, BlocksInAnotherOrderAreTold) {
+    const std::vector<Record> records = drawn(5, 20000);
+    const std::string whole = written({}, records).bytes;
+    const auto u32 = [&](std::size_t at) {
+        std::uint32_t value = 0;
+        for (unsigned i = 0; i < 4; ++i)
+            value |= std::uint32_t{static_cast<unsigned char>(whole[at + i])} << 8 * i;
+        return std::size_t{value};
+    };
+    const std::size_t first = 16 + u32(12) + 8;
+    const std::size_t second = first + 16 + u32(first);
+    const std::size_t third = second + 16 + u32(second);
+    ASSERT_GT(u32(second), 0U) << "several blocks";
+    const std::string head = whole.substr(0, first);
+    const std::string one = whole.substr(first, second - first);
+    const std::string two = whole.substr(second, third - second);
+    const std::string rest = whole.substr(third);
+    ASSERT_TRUE(read_back(head + one + two + rest).whole);
+    const std::string changed[] = {head + two + one + rest,
+                                   head + one + one + two + rest,
+                                   head + one + rest,
+                                   head + two + rest,
+                                   whole + '\0',
+                                   whole + whole};
+    for (const std::string& bytes : changed) {
+        const Back back = read_back(bytes);
+        EXPECT_FALSE(back.whole);
+        EXPECT_TRUE(begins(records, back.records));
+    }
+}
+
+TEST(TraceFile, DamageNamesItsPlace) {
+    const std::string whole = written({}, drawn(6, 20000)).bytes;
+    std::string bytes = whole;
+    bytes[bytes.size() / 2] ^= 1;
+    const Back back = read_back(bytes);
+    ASSERT_FALSE(back.whole);
+    EXPECT_LE(back.damage.place, bytes.size() / 2);
+    EXPECT_GT(back.damage.place, bytes.size() / 2 - (70U << 10U)) << "the block in which it lies";
+    EXPECT_EQ(back.damage.text(), "byte " + std::to_string(back.damage.place) + ": the block is damaged");
+}
+
+TEST(TraceFile, WhatIsNotKnownIsRefused) {
+    EXPECT_EQ(read_back("GIF89a and more of it").damage.text(),
+              "byte 0: no trace: it does not begin with \"flaxtrac\"");
+    std::string newer = written({}, {}).bytes;
+    newer[8] = 2;
+    EXPECT_EQ(read_back(newer).damage.text(),
+              "byte 8: version 2 of the format; this program knows version 1");
+    // A kind of a later program, in a block that is whole.
+    const Back back = read_back(
+        written({}, {{1, Event::asked}, {2, static_cast<Event>(event_kinds)}, {3, Event::over}}).bytes);
+    EXPECT_FALSE(back.whole);
+    EXPECT_EQ(back.records.size(), 1U);
+    EXPECT_NE(back.damage.what.find("record 1 is of an unknown kind, " + std::to_string(event_kinds)),
+              std::string::npos)
+        << back.damage.what;
+}
+
+TEST(TraceFile, TermsSayWhatDoesNotFit) {
+    const std::string good = to_json(terms_of_tests());
+    std::string error;
+    ASSERT_EQ(terms_of_json(good, error), terms_of_tests()) << error;
+    const struct {
+        const char *from, *to, *error;
+    } cases[] = {
+        {"\"clients\":10", "\"clients\":-1", "clients: a whole number that fits is wanted"},
+        {"\"clients\":10", "\"clients\":4294967296", "clients: a whole number that fits is wanted"},
+        {"\"clients\":10,", "", "clients: is not there"},
+        {"\"clients\":10", "\"clients\":10,\"more\":1", "more: unknown"},
+        {"\"effect\":\"keyed\"", "\"effect\":\"often\"",
+         "classes[1].effect: safe, keyed or unsafe is wanted"},
+        {"\"by_zone\":true", "\"by_zone\":1", "classes[2].by_zone: true or false is wanted"},
+        {"\"tenants\":[\"acme\"]", "\"tenants\":[3]", "tenants[0]: a text is wanted"},
+        {"\"ramp_us\":", "\"ramp_us\":x", "no JSON"},
+    };
+    for (const auto& one : cases) {
+        std::string text = good;
+        const std::size_t at = text.find(one.from);
+        ASSERT_NE(at, std::string::npos) << one.from;
+        text.replace(at, std::string(one.from).size(), one.to);
+        EXPECT_EQ(terms_of_json(text, error), std::nullopt) << one.to;
+        EXPECT_EQ(error, one.error);
+    }
+}
+
+// A stream that breaks: the writer says so at its end.
+TEST(TraceFile, AWriterSaysThatItsStreamFailed) {
+    std::ostringstream out;
+    TraceWriter writer(out, {});
+    writer.put({1, Event::asked});
+    out.setstate(std::ios::badbit);
+    writer.put({2, Event::over});
+    EXPECT_EQ(writer.finish().has_value(), false);
+}
+
+}  // namespace
+}  // namespace flaxdoor::lab
