--- /dev/null
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -0,0 +1,218 @@
+// The lab's command line: `flaxdoor lab ...` starts it.
+//   0: done, and what was expected was met; 1: it was not, or a file has faults; 2: the command was not
+//   understood; 3: stopped before all was done.
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "experiment/plan.h"
+#include "judge/judge.h"
+#include "judge/story.h"
+#include "report/report.h"
+#include "run/runner.h"
+#include "settings/page.h"
+#include "trace/file.h"
+
+namespace {
+
+using namespace flaxdoor::lab;
+namespace fs = std::filesystem;
+
+constexpr int unmet = 1, not_understood = 2, stopped_early = 3;
+
+std::atomic<bool> stop{false};
+static_assert(std::atomic<bool>::is_always_lock_free);
+
+std::string text_in(const fs::path& file) {
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+// The plan, or nothing after its faults were told.
+std::optional<Plan> plan_in(const std::string& file) {
+    auto read = read_plan_file(file);
+    if (const auto* const faults = std::get_if<flaxdoor::settings::Faults>(&read)) {
+        std::cerr << faults->text(file);
+        return std::nullopt;
+    }
+    return std::get<Plan>(std::move(read));
+}
+
+int check(const std::string& file) {
+    const auto plan = plan_in(file);
+    if (!plan) return unmet;
+    std::cout << file << ": ok (" << plan->variants.size() << " variants, " << plan->seeds.size()
+              << " seeds, " << plan->cells() << " worlds)\n";
+    return 0;
+}
+
+std::vector<nlohmann::json> cells_in(const fs::path& folder) {
+    std::vector<nlohmann::json> cells;
+    std::ifstream in(folder / "cells.jsonl");
+    if (!in) throw std::runtime_error((folder / "cells.jsonl").string() + ": no run is kept there");
+    for (std::string line; std::getline(in, line);) {
+        auto cell = nlohmann::json::parse(line, nullptr, false);
+        if (!cell.is_discarded()) cells.push_back(std::move(cell));
+    }
+    std::sort(cells.begin(), cells.end(), [](const auto& a, const auto& b) { return a["cell"] < b["cell"]; });
+    return cells;
+}
+
+void write_report(const fs::path& folder, const std::vector<nlohmann::json>& cells) {
+    const std::string text = text_in(folder / "plan.toml");
+    std::string name = folder.string(), question;
+    auto read = read_plan_text(text);
+    if (const auto* const plan = std::get_if<Plan>(&read)) {
+        name = plan->name;
+        question = plan->question;
+    }
+    std::ofstream(folder / "report.html", std::ios::binary) << html_of(name, question, text, cells);
+    std::ofstream(folder / "cells.csv", std::ios::binary) << csv_of(cells);
+}
+
+struct RunWords {
+    std::string file, out;
+    unsigned threads = std::max(1U, std::thread::hardware_concurrency());
+    bool resume = false, traces = false, quiet = false;
+    std::vector<std::uint64_t> seeds;
+};
+
+int run_file(const RunWords& words) {
+    auto plan = plan_in(words.file);
+    if (!plan) return unmet;
+    if (!words.seeds.empty()) plan->seeds = words.seeds;
+    RunOptions options;
+    options.folder = words.out;
+    options.plan_text = text_in(words.file);
+    options.threads = words.threads;
+    options.resume = words.resume;
+    options.traces = words.traces;
+    options.stop = &stop;
+    if (!words.quiet) {
+        options.progress = [](std::size_t done, std::size_t all, double left) {
+            std::fprintf(stderr, "\r%zu of %zu worlds, %.0f s left ", done, all, left);
+        };
+    }
+    std::signal(SIGINT, [](int) { stop = true; });
+    const Run result = run(*plan, options);
+    if (!words.quiet) std::fputc('\n', stderr);
+    std::cout << table_of(result.cells);
+    if (!words.out.empty()) {
+        write_report(words.out, result.cells);
+        std::cout << "report: " << (fs::path(words.out) / "report.html").string() << "\n";
+    }
+    bool met = true;
+    for (const auto& cell : result.cells) {
+        for (const auto& each : cell["met"]) {
+            if (each["met"] == true) continue;
+            met = false;
+            std::cout << "not met (" << cell["variant"].get<std::string>() << " seed " << cell["seed"]
+                      << "): " << each["expectation"].get<std::string>() << "; found "
+                      << each["found"].get<std::string>() << "\n";
+        }
+        for (const auto& each : cell["broken"]) std::cout << each["what"].get<std::string>() << "\n";
+    }
+    if (result.stopped) {
+        std::cout << "stopped: " << result.cells.size() << " of " << plan->cells()
+                  << " worlds are done; go on with --resume\n";
+        return stopped_early;
+    }
+    return met ? 0 : unmet;
+}
+
+int story(const std::string& trace, std::uint64_t call) {
+    std::ifstream in(trace, std::ios::binary);
+    if (!in) throw std::runtime_error(trace + ": can't be read");
+    const Story told = tell_story(in, call, std::cout);
+    if (told.damage) std::cerr << trace << ": " << told.damage->text() << "\n";
+    if (told.calls.empty()) std::cerr << trace << ": no call " << call << "\n";
+    return told.calls.empty() || told.damage ? unmet : 0;
+}
+
+int judge(const std::string& trace) {
+    std::ifstream in(trace, std::ios::binary);
+    if (!in) throw std::runtime_error(trace + ": can't be read");
+    std::unique_ptr<Judge> judge;
+    const auto damage = read_trace(in, [&](const Terms& terms) -> Sink& {
+        judge = std::make_unique<Judge>(terms);
+        return *judge;
+    });
+    if (damage) std::cerr << trace << ": " << damage->text() << "\n";
+    if (!judge) return unmet;
+    const Findings& found = judge->finish();
+    for (const Broken& each : found.broken()) std::cout << each.text() << "\n";
+    std::cout << found.counts.taken << " calls taken, " << found.counts.sendings << " attempts, "
+              << found.broken().size() << " broken rules\n";
+    return found.broken().empty() && !damage ? 0 : unmet;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+    CLI::App program("flaxdoor lab: a fleet of balancers under virtual time", "flaxdoor lab");
+    program.require_subcommand(1);
+    std::function<int()> todo;
+    std::string file;
+    RunWords run_words;
+    std::uint64_t call = 0;
+
+    CLI::App* const check_command =
+        program.add_subcommand("check", "Say all that is wrong with an experiment's file");
+    check_command->add_option("FILE", file)->required();
+    check_command->callback([&] { todo = [&] { return check(file); }; });
+
+    CLI::App* const run_command = program.add_subcommand("run", "Play an experiment's worlds");
+    run_command->add_option("FILE", run_words.file)->required();
+    run_command->add_option("-o,--out", run_words.out, "keep results and the report in this folder");
+    run_command->add_option("-j,--threads", run_words.threads, "worlds at once")->check(CLI::Range(1, 1024));
+    run_command->add_option("--seed", run_words.seeds, "these seeds in place of the file's");
+    run_command->add_flag("--resume", run_words.resume, "go on with what is in the folder");
+    run_command->add_flag("--traces", run_words.traces, "keep a trace of each world");
+    run_command->add_flag("-q,--quiet", run_words.quiet, "no progress");
+    run_command->callback([&] { todo = [&] { return run_file(run_words); }; });
+
+    CLI::App* const report_command = program.add_subcommand("report", "Write a run's page and CSV again");
+    report_command->add_option("FOLDER", file)->required();
+    report_command->callback([&] {
+        todo = [&] {
+            write_report(file, cells_in(file));
+            return 0;
+        };
+    });
+
+    CLI::App* const story_command = program.add_subcommand("story", "Tell all that happened to one call");
+    story_command->add_option("TRACE", file, "as `run --traces` keeps it")->required();
+    story_command->add_option("CALL", call)->required();
+    story_command->callback([&] { todo = [&] { return story(file, call); }; });
+
+    CLI::App* const judge_command = program.add_subcommand("judge", "Judge a trace by the four rules");
+    judge_command->add_option("TRACE", file)->required();
+    judge_command->callback([&] { todo = [&] { return judge(file); }; });
+
+    CLI::App* const settings_command =
+        program.add_subcommand("settings", "List what an experiment's file may say");
+    settings_command->callback([&] {
+        todo = [] {
+            std::cout << flaxdoor::settings::listing(experiment_schema());
+            return 0;
+        };
+    });
+    try {
+        program.parse(count, words);
+        return todo();
+    } catch (const CLI::ParseError& error) {
+        return program.exit(error) == 0 ? 0 : not_understood;
+    } catch (const std::exception& error) {
+        std::cerr << "flaxdoor lab: " << error.what() << "\n";
+        return unmet;
+    }
+}
--- /dev/null
+++ b/lab/run/runner.cpp
@@ -0,0 +1,226 @@
+#include "run/runner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "fleet/world.h"
+#include "judge/judge.h"
+
+namespace flaxdoor::lab {
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+double seconds_since(Clock::time_point from) {
+    return std::chrono::duration<double>(Clock::now() - from).count();
+}
+
+class Several final : public Sink {
+public:
+    void add(Sink& sink) { sinks_.push_back(&sink); }
+    void put(const Record& record) override {
+        for (Sink* const sink : sinks_) sink->put(record);
+    }
+
+private:
+    std::vector<Sink*> sinks_;
+};
+
+// A world writes from its beginning; its terms are known once it stands. What it wrote until then waits here.
+class Gate final : public Sink {
+public:
+    void open(Sink& sink) {
+        sink_ = &sink;
+        for (const Record& record : early_) sink.put(record);
+        early_ = {};
+    }
+    void put(const Record& record) override {
+        if (sink_) return sink_->put(record);
+        early_.push_back(record);
+    }
+
+private:
+    Sink* sink_ = nullptr;
+    std::vector<Record> early_;
+};
+
+}  // namespace
+
+bool Cell::all_met() const {
+    return std::all_of(met.begin(), met.end(), [](const Met& each) { return each.met; });
+}
+
+std::optional<Cell> play_cell(const Experiment& experiment, const std::string& trace_file,
+                              const std::atomic<bool>* stop) {
+    const auto from = Clock::now();
+    Gate gate;
+    World world(experiment, gate);
+    Cell cell;
+    cell.variant = experiment.variant;
+    cell.seed = experiment.seed;
+    cell.terms = world.terms();
+    Judge judge(cell.terms);
+    Counter counter(cell.terms, static_cast<std::uint64_t>(experiment.settles.count()));
+    DigestSink digest;
+    Several sinks;
+    sinks.add(judge);
+    sinks.add(counter);
+    std::ofstream file;
+    std::optional<TraceWriter> writer;
+    if (trace_file.empty()) {
+        sinks.add(digest);
+    } else {
+        file.open(trace_file, std::ios::binary | std::ios::trunc);
+        writer.emplace(file, cell.terms);
+        sinks.add(*writer);
+    }
+    gate.open(sinks);
+    for (std::uint32_t steps = 0; world.step(); ++steps) {
+        if ((steps & 0xFFFU) == 0 && stop && stop->load(std::memory_order_relaxed)) return std::nullopt;
+    }
+    if (writer) {
+        const auto done = writer->finish();
+        if (!done) throw std::runtime_error(trace_file + " could not be written");
+        cell.digest = done->digest;
+        cell.records = done->records;
+    } else {
+        cell.digest = digest.finish();
+        cell.records = digest.records();
+    }
+    cell.happenings = world.figures().happenings;
+    cell.findings = judge.finish();
+    cell.figures = counter.finish();
+    cell.met = meets(experiment, cell.terms, cell.figures, cell.findings);
+    cell.real_seconds = seconds_since(from);
+    return cell;
+}
+
+json to_json(const Cell& cell) {
+    json broken = json::array();
+    for (const Broken& each : cell.findings.broken()) {
+        broken.push_back(
+            {{"rule", text_of(each.rule)}, {"at_us", each.at}, {"call", each.call}, {"what", each.text()}});
+        if (broken.size() >= 20) break;
+    }
+    json met = json::array();
+    for (const Met& each : cell.met) {
+        met.push_back({{"expectation", each.expectation}, {"met", each.met}, {"found", each.found}});
+    }
+    json troubles = json::array();
+    for (const auto& each : cell.terms.troubles) {
+        troubles.push_back({{"name", each.name}, {"at_us", each.at_us}, {"lasts_us", each.lasts_us}});
+    }
+    std::uint64_t rules_broken = 0;
+    for (const auto count : cell.findings.counts.broken) rules_broken += count;
+    return {{"cell", cell.number},
+            {"variant", cell.variant},
+            {"seed", cell.seed},
+            {"digest", cell.digest.text()},
+            {"records", cell.records},
+            {"happenings", cell.happenings},
+            {"real_seconds", cell.real_seconds},
+            {"lasts_us", cell.terms.lasts_us},
+            {"troubles", std::move(troubles)},
+            {"rules_broken", rules_broken},
+            {"broken", std::move(broken)},
+            {"met", std::move(met)},
+            {"figures", to_json(cell.figures, cell.terms)}};
+}
+
+Run run(const Plan& plan, const RunOptions& options) {
+    namespace fs = std::filesystem;
+    std::map<std::size_t, json> done;
+    std::ofstream lines;
+    if (!options.folder.empty()) {
+        std::error_code error;
+        fs::create_directories(options.folder, error);
+        if (error) throw std::runtime_error(options.folder + ": " + error.message());
+        const fs::path plan_file = fs::path(options.folder) / "plan.toml";
+        const fs::path lines_file = fs::path(options.folder) / "cells.jsonl";
+        std::string there;
+        if (std::ifstream in(plan_file, std::ios::binary); in) {
+            std::ostringstream text;
+            text << in.rdbuf();
+            there = text.str();
+        }
+        if (options.resume && !there.empty() && there != options.plan_text) {
+            throw std::runtime_error(options.folder + " is of another experiment; choose another folder");
+        }
+        if (!options.resume && fs::exists(lines_file)) {
+            throw std::runtime_error(options.folder +
+                                     " has results; go on with --resume, or choose another folder");
+        }
+        std::ofstream(plan_file, std::ios::binary) << options.plan_text;
+        std::string whole;  // a last line that was cut is left out
+        std::ifstream in(lines_file);
+        for (std::string line; std::getline(in, line) && !in.eof();) {
+            json cell = json::parse(line, nullptr, false);
+            if (cell.is_discarded() || !cell.contains("cell")) continue;
+            whole += line + "\n";
+            const auto number = cell["cell"].get<std::size_t>();
+            done.emplace(number, std::move(cell));
+        }
+        in.close();
+        lines.open(lines_file, std::ios::trunc);
+        lines << whole << std::flush;
+        if (!lines) throw std::runtime_error(lines_file.string() + " can't be written");
+    }
+    const std::size_t all = plan.cells();
+    std::vector<std::size_t> todo;
+    for (std::size_t n = 0; n < all; ++n) {
+        if (!done.contains(n)) todo.push_back(n);
+    }
+    const std::size_t before = done.size();
+    const auto from = Clock::now();
+    std::atomic<std::size_t> next = 0;
+    std::mutex mutex;
+    std::exception_ptr failure;
+    const auto work = [&] {
+        try {
+            for (std::size_t i = next++; i < todo.size(); i = next++) {
+                if (options.stop && options.stop->load()) return;
+                const std::string trace =
+                    options.traces && !options.folder.empty()
+                        ? (fs::path(options.folder) / (std::to_string(todo[i]) + ".trace")).string()
+                        : "";
+                auto cell = play_cell(plan.cell(todo[i]), trace, options.stop);
+                if (!cell) return;
+                cell->number = todo[i];
+                json line = to_json(*cell);
+                const std::lock_guard lock(mutex);
+                if (lines.is_open()) lines << line.dump() << "\n" << std::flush;
+                done.emplace(todo[i], std::move(line));
+                const std::size_t now_done = done.size() - before;
+                const double left = seconds_since(from) / static_cast<double>(now_done) *
+                                    static_cast<double>(todo.size() - now_done);
+                if (options.progress) options.progress(done.size(), all, left);
+            }
+        } catch (...) {
+            const std::lock_guard lock(mutex);
+            if (!failure) failure = std::current_exception();
+            next = todo.size();
+        }
+    };
+    std::vector<std::jthread> threads;
+    for (unsigned t = 1; t < std::min<std::size_t>(options.threads, todo.size()); ++t)
+        threads.emplace_back(work);
+    work();
+    threads.clear();
+    if (failure) std::rethrow_exception(failure);
+    Run result;
+    result.stopped = done.size() < all;
+    for (auto& [number, cell] : done) result.cells.push_back(std::move(cell));
+    return result;
+}
+
+}  // namespace flaxdoor::lab
--- a/standins/tally.h
+++ b/standins/tally.h
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "standins/latencies.h"
+
 namespace flaxdoor::standins {
 
 enum class Outcome {
@@ -25,23 +27,6 @@
 inline constexpr std::size_t outcomes = 8;
 [[nodiscard]] std::string_view name_of(Outcome outcome);
 
-// Latencies in microseconds, in buckets less than 1% wide.
-class Latencies {
-public:
-    void add(std::chrono::microseconds latency);
-    // The latency that the share q of all stayed within; 0 when there are none.
-    [[nodiscard]] std::chrono::microseconds quantile(double q) const;
-    [[nodiscard]] std::uint64_t count() const { return count_; }
-    [[nodiscard]] std::chrono::microseconds most() const { return std::chrono::microseconds(most_); }
-    void merge(const Latencies& other);
-
-private:
-    static constexpr unsigned fine_bits = 7;
-    static constexpr std::size_t buckets = (33 - fine_bits) << fine_bits;
-    std::vector<std::uint64_t> counts_;
-    std::uint64_t count_ = 0, most_ = 0;
-};
-
 struct ClassTally {
     std::uint64_t calls = 0;  // that have an outcome
     std::array<std::uint64_t, outcomes> by_outcome{};
