--- a/lab/apps/flaxdoor_lab.cpp
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -13,6 +13,8 @@
 #include <thread>
 
 #include "experiment/plan.h"
+#include "explore/explore.h"
+#include "hunt/hunt.h"
 #include "judge/judge.h"
 #include "judge/story.h"
 #include "report/report.h"
@@ -155,6 +157,82 @@
     return found.broken().empty() && !damage ? 0 : unmet;
 }
 
+struct HuntWords {
+    std::string file, out = "found.toml";
+    HuntOptions options;
+};
+
+int hunt_file(HuntWords& words) {
+    const auto plan = plan_in(words.file);
+    if (!plan) return unmet;
+    std::signal(SIGINT, [](int) { stop = true; });
+    words.options.stop = &stop;
+    words.options.tell = [](const std::string& what) { std::cerr << what << "\n"; };
+    const Hunt found = hunt(*plan, words.options);
+    if (!found.prey) {
+        std::cout << "nothing wrong in " << found.drawn << " worlds\n";
+        return stop ? stopped_early : 0;
+    }
+    std::ofstream out(words.out, std::ios::binary);
+    for (const std::string& each : found.prey->wrong) {
+        out << "# " << each << "\n";
+        std::cout << each << "\n";
+    }
+    out << found.prey->file << std::flush;
+    if (!out) throw std::runtime_error(words.out + " can't be written");
+    std::cout << "world " << found.prey->draw << ", made smaller in " << found.prey->steps << " steps of "
+              << found.played << " worlds: " << words.out << "\n";
+    return unmet;
+}
+
+struct ExploreWords {
+    std::string file;
+    std::size_t paths = 100'000;
+    unsigned seconds = 600;
+    std::vector<std::uint32_t> path;
+};
+
+std::string text_of(const std::vector<std::uint32_t>& choices) {
+    std::string text;
+    for (const auto each : choices) text += (text.empty() ? "" : ",") + std::to_string(each);
+    return text;
+}
+
+int explore_file(const ExploreWords& words) {
+    const auto plan = plan_in(words.file);
+    if (!plan) return unmet;
+    if (!words.path.empty()) {
+        const Findings found = follow(plan->cell(0), words.path);
+        for (const Broken& each : found.broken()) std::cout << each.text() << "\n";
+        return found.broken().empty() ? 0 : unmet;
+    }
+    std::signal(SIGINT, [](int) { stop = true; });
+    bool wrong = false, whole = true;
+    for (std::size_t n = 0; n < plan->cells(); ++n) {
+        ExploreOptions options;
+        options.paths_most = words.paths;
+        options.time_most = std::chrono::seconds(words.seconds);
+        options.stop = &stop;
+        options.progress = [](const Covered& now) {
+            std::fprintf(stderr, "\r%llu orders, %llu states ", static_cast<unsigned long long>(now.paths),
+                         static_cast<unsigned long long>(now.states));
+        };
+        const Experiment experiment = plan->cell(n);
+        const Explored explored = explore(experiment, options);
+        const Covered& c = explored.covered;
+        std::cout << experiment.variant << (experiment.variant.empty() ? "" : " ") << "seed "
+                  << experiment.seed << ": " << (c.all ? "all orders" : "not all orders") << ": " << c.paths
+                  << " played, " << c.states << " states, " << c.met_again << " met again, up to "
+                  << c.choices_most << " choices, " << c.happenings << " happenings\n";
+        whole &= c.all;
+        for (const WrongPath& path : explored.wrong) {
+            wrong = true;
+            std::cout << "--path " << text_of(path.choices) << ": " << path.broken.front().text() << "\n";
+        }
+    }
+    return wrong ? unmet : whole ? 0 : stopped_early;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -180,6 +258,30 @@
     run_command->add_flag("-q,--quiet", run_words.quiet, "no progress");
     run_command->callback([&] { todo = [&] { return run_file(run_words); }; });
 
+    HuntWords hunt_words;
+    hunt_words.options.threads = run_words.threads;
+    CLI::App* const hunt_command = program.add_subcommand(
+        "hunt", "Draw worlds from the file's ranges until one goes wrong, and make it smaller");
+    hunt_command->add_option("FILE", hunt_words.file)->required();
+    hunt_command->add_option("-o,--out", hunt_words.out, "the smallest world, as an experiment's file");
+    hunt_command->add_option("--draws", hunt_words.options.draws, "worlds to draw at most");
+    hunt_command->add_option("--shrinks", hunt_words.options.shrinks,
+                             "worlds to play at most to make it smaller");
+    hunt_command->add_option("--seed", hunt_words.options.seed, "of the drawing");
+    hunt_command->add_option("-j,--threads", hunt_words.options.threads, "worlds at once")
+        ->check(CLI::Range(1, 1024));
+    hunt_command->callback([&] { todo = [&] { return hunt_file(hunt_words); }; });
+
+    ExploreWords explore_words;
+    CLI::App* const explore_command =
+        program.add_subcommand("explore", "Play every order of events at equal standing in a small world");
+    explore_command->add_option("FILE", explore_words.file, "wants experiment.grid")->required();
+    explore_command->add_option("--paths", explore_words.paths, "orders to play at most, for each world");
+    explore_command->add_option("--seconds", explore_words.seconds, "real time at most, for each world");
+    explore_command->add_option("--path", explore_words.path, "play this one alone, as it was told")
+        ->delimiter(',');
+    explore_command->callback([&] { todo = [&] { return explore_file(explore_words); }; });
+
     CLI::App* const report_command = program.add_subcommand("report", "Write a run's page and CSV again");
     report_command->add_option("FOLDER", file)->required();
     report_command->callback([&] {
--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -163,6 +163,7 @@
     std::uint64_t seed = 1;
     Micros lasts{60000000};
     Micros settles{2000000};  // at first, not counted
+    Micros grid{};            // over 0: everything happens at whole multiples of it, for the explorer
     Fleet fleet;
     ServerModel servers;
     NetworkModel network;
--- a/lab/experiment/keys.h
+++ b/lab/experiment/keys.h
@@ -64,6 +64,13 @@
                                           .unit = "seeds",
                                           .takes = settings::Takes::restart,
                                           .meaning = "How many worlds are drawn for each variant."}};
+inline constexpr Key<Micros> grid{
+    {.table = "experiment",
+     .name = "grid",
+     .fallback = Micros{0},
+     .most = std::chrono::seconds(10),
+     .takes = settings::Takes::restart,
+     .meaning = "Over 0, everything happens at whole multiples of it: for `explore`."}};
 inline constexpr Key<bool> real{
     {.table = "experiment",
      .name = "real",
--- a/lab/experiment/plan.cpp
+++ b/lab/experiment/plan.cpp
@@ -86,6 +86,11 @@
     return Objection{"shape is not factors from 0 to 1000", "write them with spaces, as \"1 1.5 0.5\""};
 }
 
+std::optional<Objection> no_experiment(const Values& values) {
+    if (values.given("experiment")) return std::nullopt;
+    return Objection{"the file is no experiment", "add [experiment] with a name"};
+}
+
 std::optional<Objection> no_class(const Values& values) {
     if (!values.rows("class").empty()) return std::nullopt;
     return Objection{"there is no class of calls", "add a [[class]] row"};
@@ -255,7 +260,8 @@
                 Variant more = variant;
                 more.name += (more.name.empty() ? "" : " ") + axis.label() + "=" + written;
                 set(more.values, place, std::get<Value>(value));
-                for (const Fault& fault : settings::check_values(more.values).first()) {
+                const Faults against = settings::check_values(more.values);
+                for (const Fault& fault : against.first()) {
                     faults.add({place_of(axis, "values"), settings::in_quotes(written) + ": " + fault.what,
                                 "axis.values", fault.mend});
                 }
@@ -304,10 +310,11 @@
     namespace k = keys;
     std::vector<Table> tables{
         {.name = "experiment",
+         .kind = Kind::optional,
          .meaning = "What is asked, and how often it is played.",
          .settings = {k::experiment::name, k::experiment::question, k::experiment::lasts,
                       k::experiment::settles, k::experiment::first_seed, k::experiment::seeds,
-                      k::experiment::real}},
+                      k::experiment::grid, k::experiment::real}},
         {.name = "fleet",
          .meaning = "The balancers.",
          .settings = {k::fleet::balancers, k::fleet::front_notices, k::fleet::knows_start}},
@@ -395,7 +402,8 @@
          .unique = "name",
          .most_rows = 100}};
     return Schema(std::move(tables),
-                  {{{"class.name"}, "There is a class of calls.", no_class},
+                  {{{"experiment.name"}, "The file says what is asked.", no_experiment},
+                   {{"class.name"}, "There is a class of calls.", no_class},
                    {{"trouble.kind", "trouble.on", "expect.on", "servers.count"},
                     "What is named is there.",
                     known_target},
@@ -455,6 +463,7 @@
     e.seed = seed;
     e.lasts = values.get(k::experiment::lasts);
     e.settles = values.get(k::experiment::settles);
+    e.grid = values.get(k::experiment::grid);
     e.real = values.get(k::experiment::real);
     e.fleet.balancers = whole(k::fleet::balancers);
     e.fleet.front_notices = values.get(k::fleet::front_notices);
--- a/lab/fleet/scheduler.h
+++ b/lab/fleet/scheduler.h
@@ -58,7 +58,9 @@
 
 class Scheduler {
 public:
-    explicit Scheduler(Time begins, Chooser* chooser = nullptr) : now_(begins), chooser_(chooser) {}
+    // Over 0, everything happens at whole multiples of `grid` from there, at the next one if need be.
+    Scheduler(Time begins, Micros grid, Chooser* chooser = nullptr)
+        : now_(begins), begins_(begins), grid_(grid), chooser_(chooser) {}
 
     Time now() const { return now_; }
     // What is set for the past happens now, after all that was set for now before.
@@ -72,6 +74,8 @@
     Happening pop();
 
     Time now_;
+    const Time begins_;
+    const Micros grid_;
     Chooser* chooser_;
     std::vector<Happening> heap_;
     std::vector<Happening> standing_;  // of the present instant, where there is a chooser
--- a/lab/fleet/world.cpp
+++ b/lab/fleet/world.cpp
@@ -21,7 +21,7 @@
 public:
     Impl(const Experiment& experiment, Sink& sink, Chooser* chooser)
         : experiment_(experiment),
-          scheduler_(Parts::begins, chooser),
+          scheduler_(Parts::begins, experiment.grid, chooser),
           parts_{.experiment = experiment_, .scheduler = scheduler_, .sink = sink},
           network_(parts_),
           servers_(parts_) {
@@ -79,6 +79,7 @@
     bool step() {
         if (over_) return false;
         const Happening h = scheduler_.next();
+        if (watcher_) watcher_->meets(h, name_of(h));
         switch (h.what) {
             case What::client_calls: clients_->calls(h.who); break;
             case What::client_repeats: clients_->repeats(h.who, h.a); break;
@@ -116,6 +117,8 @@
         return true;
     }
 
+    void watch(Watcher* watcher) { watcher_ = watcher; }
+
     std::uint64_t now_us() const { return Parts::since_begin(scheduler_.now()); }
 
     WorldFigures figures() const {
@@ -123,6 +126,31 @@
     }
 
 private:
+    // Handles of tries and flights go by the order in which they were made; calls' numbers do not.
+    std::uint64_t name_of(const Happening& h) {
+        switch (h.what) {
+            case What::client_repeats:
+            case What::try_comes:
+            case What::try_answered:
+            case What::try_broken:
+            case What::try_given_up:
+            case What::try_left: {
+                const Try* const its = clients_->find(h.a);
+                return (its ? its->call : 0) ^ h.b << 48U;
+            }
+            case What::connected:
+            case What::connect_refused:
+            case What::flight_comes:
+            case What::flight_answered:
+            case What::server_done: {
+                const Flight* const its = flights_.find(h.a);
+                return its ? its->call ^ std::uint64_t{its->number} << 40U ^ h.b << 48U : 0;
+            }
+            case What::alarm: return 0;  // which one counts follows from what the balancer met
+            default: return h.a ^ h.b << 32U;
+        }
+    }
+
     static Terms::Class class_of(const ClassSettings& c) {
         Terms::Class its;
         its.name = c.name;
@@ -148,6 +176,7 @@
     std::unique_ptr<Roster> roster_;
     std::unique_ptr<Clients> clients_;
     std::unique_ptr<Balancers> balancers_;  // goes first: its processes let go of flights and servers
+    Watcher* watcher_ = nullptr;
     Time ends_{};
     bool over_ = false;
 };
@@ -157,6 +186,7 @@
 World::~World() = default;
 Terms World::terms() const { return impl_->terms(); }
 bool World::step() { return impl_->step(); }
+void World::watch(Watcher* watcher) { impl_->watch(watcher); }
 std::uint64_t World::now_us() const { return impl_->now_us(); }
 WorldFigures World::figures() const { return impl_->figures(); }
 
--- a/lab/fleet/world.h
+++ b/lab/fleet/world.h
@@ -26,6 +26,14 @@
     std::size_t flights = 0, tries = 0;
 };
 
+// Who looks on: told each happening before it happens, with a name for it that is the same whatever order
+// other things came in (a happening's own numbers are not).
+class Watcher {
+public:
+    virtual ~Watcher() = default;
+    virtual void meets(const Happening& happening, std::uint64_t name) = 0;
+};
+
 class World {
 public:
     // `sink` and `chooser` are borrowed.
@@ -38,6 +46,8 @@
     Terms terms() const;
     // The next thing that happens; false when the world is over.
     bool step();
+    // Borrowed; null: nobody.
+    void watch(Watcher* watcher);
     std::uint64_t now_us() const;
     WorldFigures figures() const;
 
--- /dev/null
+++ b/lab/hunt/hunt.cpp
@@ -0,0 +1,208 @@
+#include "hunt/hunt.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "experiment/keys.h"
+#include "random/stream.h"
+#include "run/runner.h"
+#include "settings/reader.h"
+
+namespace flaxdoor::lab {
+
+namespace {
+
+using settings::Row;
+using settings::Value;
+using settings::Values;
+
+std::vector<std::string> plainly_wrong(const Experiment& experiment, const std::atomic<bool>* stop) {
+    std::vector<std::string> all;
+    const auto cell = play_cell(experiment, "", stop);
+    if (!cell) return all;
+    for (const Broken& each : cell->findings.broken()) {
+        all.push_back("rule on " + std::string(text_of(each.rule)) + ": " + each.what);
+        if (all.size() >= 5) break;
+    }
+    for (const Met& each : cell->met) {
+        if (!each.met) all.push_back("not met: " + each.expectation + "; found " + each.found);
+    }
+    return all;
+}
+
+// What a sentence is about: two worlds show the same when they share one of these.
+std::string subject(const std::string& sentence) {
+    return sentence.substr(0, sentence.find_first_of(":;", 9));
+}
+
+bool shows_one_of(const std::vector<std::string>& wrong, const std::vector<std::string>& subjects) {
+    return std::any_of(wrong.begin(), wrong.end(), [&](const std::string& each) {
+        return std::find(subjects.begin(), subjects.end(), subject(each)) != subjects.end();
+    });
+}
+
+Value between(const Value& least, const Value& most, Stream& stream) {
+    if (const auto* const low = std::get_if<std::int64_t>(&least)) {
+        const auto span = static_cast<std::uint64_t>(std::get<std::int64_t>(most) - *low) + 1;
+        return *low + static_cast<std::int64_t>(stream.below(span));
+    }
+    if (const auto* const low = std::get_if<double>(&least)) {
+        return *low + (std::get<double>(most) - *low) * stream.share();
+    }
+    const auto low = std::get<Micros>(least), high = std::get<Micros>(most);
+    // Whole milliseconds read better, where the range has any.
+    const auto drawn =
+        low +
+        Micros(static_cast<std::int64_t>(stream.below(static_cast<std::uint64_t>((high - low).count()) + 1)));
+    const Micros rounded = std::chrono::floor<std::chrono::milliseconds>(drawn);
+    return rounded >= low ? rounded : drawn;
+}
+
+Values without_ranges(Values values) {
+    for (const char* const table : {"range", "axis"})
+        values.parts()[values.schema().index_of(table)].rows.clear();
+    return values;
+}
+
+// One step smaller, each another way; those that do the most come first.
+std::vector<Values> smaller(const Values& values) {
+    std::vector<Values> all;
+    const auto without_row = [&](const char* table, std::size_t least) {
+        const std::size_t t = values.schema().index_of(table);
+        const auto& rows = values.parts()[t].rows;
+        for (std::size_t r = 0; rows.size() > least && r < rows.size(); ++r) {
+            Values next = values;
+            next.parts()[t].rows.erase(next.parts()[t].rows.begin() + static_cast<std::ptrdiff_t>(r));
+            all.push_back(std::move(next));
+        }
+    };
+    const auto halved = [&](const char* table, const char* key, std::int64_t least) {
+        const std::size_t t = values.schema().index_of(table);
+        const std::size_t k = values.schema().tables()[t].index_of(key);
+        for (std::size_t r = 0; r < values.parts()[t].rows.size(); ++r) {
+            const Value& now = *values.parts()[t].rows[r].slots()[k].value;
+            // Half of it, or three quarters where half goes too far.
+            for (const double part : {0.5, 0.75}) {
+                Value next = now;
+                if (const auto* const whole = std::get_if<std::int64_t>(&now)) {
+                    const auto less = static_cast<std::int64_t>(static_cast<double>(*whole) * part);
+                    if (less < least || less == *whole) continue;
+                    next = less;
+                } else if (const auto* const real = std::get_if<double>(&now)) {
+                    if (*real * part < static_cast<double>(least)) continue;
+                    next = *real * part;
+                } else {
+                    const Micros less(
+                        static_cast<std::int64_t>(static_cast<double>(std::get<Micros>(now).count()) * part));
+                    if (less < Micros(least)) continue;
+                    next = less;
+                }
+                Values more = values;
+                auto& slot = more.parts()[t].rows[r].slots()[k];
+                slot.value = std::move(next);
+                slot.given = true;
+                all.push_back(std::move(more));
+            }
+        }
+    };
+    without_row("trouble", 0);
+    halved("experiment", "lasts", 1'000'000);
+    halved("fleet", "balancers", 1);
+    halved("servers", "count", 2);
+    halved("clients", "rate", 1);
+    halved("clients", "count", 1);
+    without_row("class", 1);
+    without_row("tenant", 0);
+    without_row("zone", 1);
+    halved("trouble", "lasts", 1000);
+    return all;
+}
+
+// The first of these that shows it, by number, looked at by several threads at a time.
+template <typename Shows>
+std::optional<std::size_t> first_that(std::size_t count, unsigned threads, const std::atomic<bool>* stop,
+                                      Shows shows) {
+    std::atomic<std::size_t> next{0}, found{count};
+    const auto work = [&] {
+        for (std::size_t i = next++; i < count && i < found; i = next++) {
+            if (stop && stop->load()) return;
+            if (!shows(i)) continue;
+            for (std::size_t best = found; i < best && !found.compare_exchange_weak(best, i);) {
+            }
+        }
+    };
+    {
+        std::vector<std::jthread> others;
+        for (unsigned t = 1; t < threads; ++t) others.emplace_back(work);
+        work();
+    }
+    return found < count ? std::optional<std::size_t>(found) : std::nullopt;
+}
+
+}  // namespace
+
+Hunt hunt(const Plan& plan, const HuntOptions& options) {
+    Hunt result;
+    std::atomic<std::size_t> played{0};
+    const auto wrong = [&](const Values& values, std::uint64_t seed) {
+        ++played;
+        const Experiment experiment = experiment_of(values, seed);
+        return options.wrong ? options.wrong(experiment) : plainly_wrong(experiment, options.stop);
+    };
+    const auto tell = [&](const std::string& what) {
+        if (options.tell) options.tell(what);
+    };
+    const auto drawn = [&](std::size_t number) {
+        Stream stream(options.seed, Whose::hunt, number);
+        Values values = plan.variants[number % plan.variants.size()].values;
+        for (const Range& range : plan.ranges)
+            set(values, range.place, between(range.least, range.most, stream));
+        return without_ranges(std::move(values));
+    };
+    const auto seed_of = [&](std::size_t number) { return options.seed + number; };
+    const auto sound = [](const Values& values) { return settings::check_values(values).empty(); };
+
+    const auto found = first_that(options.draws, options.threads, options.stop, [&](std::size_t i) {
+        const Values values = drawn(i);
+        return sound(values) && !wrong(values, seed_of(i)).empty();
+    });
+    result.drawn = found ? *found + 1 : options.draws;
+    if (found) {
+        Values smallest = drawn(*found);
+        const std::uint64_t seed = seed_of(*found);
+        Prey prey;
+        prey.draw = *found;
+        prey.wrong = wrong(smallest, seed);
+        std::vector<std::string> subjects;
+        for (const std::string& each : prey.wrong) subjects.push_back(subject(each));
+        tell("world " + std::to_string(*found) + ": " + (prey.wrong.empty() ? "" : prey.wrong.front()));
+        const std::size_t until = played + options.shrinks;
+        for (bool again = true; again && played < until && !(options.stop && options.stop->load());) {
+            again = false;
+            const auto candidates = smaller(smallest);
+            const auto taken = first_that(std::min(candidates.size(), until - played), options.threads,
+                                          options.stop, [&](std::size_t i) {
+                                              return sound(candidates[i]) &&
+                                                     shows_one_of(wrong(candidates[i], seed), subjects);
+                                          });
+            if (!taken) break;
+            smallest = candidates[*taken];
+            ++prey.steps;
+            again = true;
+            tell("smaller, step " + std::to_string(prey.steps));
+        }
+        prey.wrong = wrong(smallest, seed);
+        const auto place = [&](const char* table, const char* key) {
+            const std::size_t t = smallest.schema().index_of(table);
+            return SettingPlace{t, smallest.schema().tables()[t].index_of(key), std::nullopt};
+        };
+        set(smallest, place("experiment", "first_seed"), static_cast<std::int64_t>(seed));
+        set(smallest, place("experiment", "seeds"), std::int64_t{1});
+        prey.file = toml_of(smallest);
+        result.prey = std::move(prey);
+    }
+    result.played = played;
+    return result;
+}
+
+}  // namespace flaxdoor::lab
--- a/src/apps/flaxdoor.cpp
+++ b/src/apps/flaxdoor.cpp
@@ -1,13 +1,19 @@
 // The command line: what an operator asks of this program's files without running a balancer.
 //   0: done, or the file is in order; 1: the file has faults; 2: the command was not understood; `store` has
 //   more: store_commands.h.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "apps/route_commands.h"
 #include "apps/store_commands.h"
@@ -101,6 +107,26 @@
     });
 }
 
+// The lab is a program of its own, which stands beside this one: this one knows nothing of it.
+void add_lab(CLI::App& program, Todo& todo) {
+    CLI::App* const command = program.add_subcommand("lab", "Play a fleet under virtual time (flaxdoor-lab)");
+    command->prefix_command();
+    command->callback([command, &todo] {
+        todo = [words = command->remaining()]() -> int {
+            std::error_code error;
+            const auto self = std::filesystem::read_symlink("/proc/self/exe", error);
+            const std::string lab = (self.parent_path() / "flaxdoor-lab").string();
+            std::vector<char*> all{const_cast<char*>(lab.c_str())};
+            for (const std::string& word : words) all.push_back(const_cast<char*>(word.c_str()));
+            all.push_back(nullptr);
+            ::execv(lab.c_str(), all.data());
+            std::cerr << "flaxdoor: " << lab << " can't be started: " << std::strerror(errno)
+                      << "; build with -DFLAXDOOR_LAB=ON\n";
+            return faulty;
+        };
+    });
+}
+
 void add_version(CLI::App& program, Todo& todo) {
     program.add_subcommand("version", "Say the version")->callback([&todo] {
         todo = [] {
@@ -110,8 +136,8 @@
     });
 }
 
-constexpr Command commands[] = {add_check, add_settings, flaxdoor::apps::add_routes,
-                                flaxdoor::apps::add_store, add_version};
+constexpr Command commands[] = {
+    add_check, add_settings, flaxdoor::apps::add_routes, flaxdoor::apps::add_store, add_lab, add_version};
 
 }  // namespace
 
