--- a/lab/trace/file.cpp
+++ b/lab/trace/file.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <istream>
 #include <limits>
@@ -24,6 +25,8 @@
 constexpr std::size_t block_head = 16;  // size, records, hash
 constexpr std::size_t end_size = 32;    // records, digest, hash
 
+constexpr std::size_t largest_record = 2 + 10 + 2 * 5 + 3 * 10;
+
 // Which numbers of a record are not zero.
 enum Mask : unsigned { has_who = 1, has_peer = 2, has_call = 4, has_a = 8, has_b = 16, all_of_mask = 31 };
 
@@ -41,9 +44,11 @@
     return value;
 }
 
-void put_varint(std::string& out, std::uint64_t value) {
-    for (; value >= 0x80; value >>= 7U) out.push_back(static_cast<char>(value | 0x80));
-    out.push_back(static_cast<char>(value));
+// There are ten bytes for it; returns where it ends.
+char* varint_to(char* to, std::uint64_t value) {
+    for (; value >= 0x80; value >>= 7U) *to++ = static_cast<char>(value | 0x80);
+    *to++ = static_cast<char>(value);
+    return to;
 }
 
 // False: it is not there, or longer than 64 bits.
@@ -243,7 +248,7 @@
 
 }  // namespace
 
-Blocks::Blocks() : hash_(std::make_unique<Hash>()) { open_.reserve(full_block + 128); }
+Blocks::Blocks() : hash_(std::make_unique<Hash>()) { open_.reserve(full_block + largest_record); }
 Blocks::~Blocks() = default;
 
 bool Blocks::add(const Record& record) {
@@ -251,17 +256,20 @@
     const unsigned mask = (record.who != 0 ? has_who : 0U) | (record.peer != 0 ? has_peer : 0U) |
                           (record.call != 0 ? has_call : 0U) | (record.a != 0 ? has_a : 0U) |
                           (record.b != 0 ? has_b : 0U);
-    open_.push_back(static_cast<char>(record.event));
-    open_.push_back(static_cast<char>(mask));
-    put_varint(open_, at - at_);
-    if ((mask & has_who) != 0) put_varint(open_, record.who);
-    if ((mask & has_peer) != 0) put_varint(open_, record.peer);
+    std::array<char, largest_record> bytes;
+    char* to = bytes.data();
+    *to++ = static_cast<char>(record.event);
+    *to++ = static_cast<char>(mask);
+    to = varint_to(to, at - at_);
+    if ((mask & has_who) != 0) to = varint_to(to, record.who);
+    if ((mask & has_peer) != 0) to = varint_to(to, record.peer);
     if ((mask & has_call) != 0) {
-        put_varint(open_, folded(record.call - call_));
+        to = varint_to(to, folded(record.call - call_));
         call_ = record.call;
     }
-    if ((mask & has_a) != 0) put_varint(open_, record.a);
-    if ((mask & has_b) != 0) put_varint(open_, record.b);
+    if ((mask & has_a) != 0) to = varint_to(to, record.a);
+    if ((mask & has_b) != 0) to = varint_to(to, record.b);
+    open_.append(bytes.data(), to);
     at_ = at;
     ++in_open_;
     ++records_;
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -154,6 +154,14 @@
     4 heard 0 0 1 1 reset
 -   5 final_answer 0 7 1 failed
 +   5 final_answer 0 7 1 refused
+  500 over)"},
+    {"unsafe_refused_after_it_ran_and_was_told_otherwise", Rule::effects, "ran at 0.003000 s", 1, R"(
+    0 asked 7 0 1 100ms unsafe
+    1 taken 0 7 1
+    2 sending 0 0 1 1
++   3 ran 0 0 1 1 1
+    4 heard 0 0 1 1 never_left
+    5 final_answer 0 7 1 refused
   500 over)"},
     {"unsafe_refused_and_runs_later", Rule::effects, "runs 0.250000 s later", 1, R"(
     0 asked 7 0 1 100ms unsafe
