--- a/lab/trace/record.h
+++ b/lab/trace/record.h
@@ -1,5 +1,7 @@
 // What happened in a world, as its clients, servers, roster and network saw it: one record an event, in the
-// order in which things happened. The judge, the stories and the reports know a world by this alone.
+// order in which things happened: a record stands before those of what follows from it, also at the same
+// instant (heard before the sending that it leads to, taken before the core has the call, told before its
+// list is read). The judge, the stories and the reports know a world by this alone.
 //
 // Units:     times in microseconds from the world's beginning, 0 or more, never going back.
 // Threading: plain values.
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -6,8 +6,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
 #include <ostream>
+#include <sstream>
 
+#include "trace/file.h"
 #include "world.h"
 
 namespace flaxdoor::lab {
@@ -315,6 +318,22 @@
     EXPECT_TRUE(said) << "wanted: " << one.says << "\nfound:\n" << list(findings);
 }
 
+// From a file it finds the same, word for word.
+TEST_P(BrokenWorlds, IsFoundInItsFile) {
+    const std::vector<Record> records = world(GetParam().records, '+');
+    const auto earlier = [](const Record& one, const Record& other) { return one.at < other.at; };
+    if (!std::is_sorted(records.begin(), records.end(), earlier)) return;  // a file's times do not go back
+    std::ostringstream out;
+    TraceWriter writer(out, terms_of_tests());
+    for (const Record& record : records) writer.put(record);
+    ASSERT_TRUE(writer.finish());
+
+    std::istringstream in(out.str());
+    std::optional<Judge> judge;
+    ASSERT_FALSE(read_trace(in, [&](const Terms& terms) -> Sink& { return judge.emplace(terms); }));
+    EXPECT_EQ(list(judge->finish()), list(judged(terms_of_tests(), records)));
+}
+
 INSTANTIATE_TEST_SUITE_P(All, BrokenWorlds, testing::ValuesIn(worlds),
                          [](const auto& one) { return std::string(one.param.name); });
 
--- a/tests/lab/trace_test.cpp
+++ b/tests/lab/trace_test.cpp
@@ -1,6 +1,8 @@
 // Trace files: what is written is read; what was cut or changed is told, and what is read before is a
 // beginning.
+#define XXH_INLINE_ALL
 #include <gtest/gtest.h>
+#include <xxhash.h>
 
 #include <cstdlib>
 #include <sstream>
@@ -219,6 +221,68 @@
     }
 }
 
+// A file made here by the page, of a block with these bytes: its checksums are right whatever they are.
+std::string sealed(const std::string& block, std::uint32_t records) {
+    const auto number = [](std::uint64_t value, unsigned size) {
+        std::string bytes;
+        for (unsigned i = 0; i < size; ++i) bytes.push_back(static_cast<char>(value >> 8 * i));
+        return bytes;
+    };
+    const auto hash = [](const std::string& bytes, std::uint64_t seed) {
+        return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+    };
+    const std::string terms = to_json({});
+    std::string head = "flaxtrac" + number(1, 4) + number(terms.size(), 4) + terms;
+    head += number(hash(head, 0), 8);
+    const std::string sizes = number(block.size(), 4) + number(records, 4);
+    const std::string body = sizes + number(hash(block, hash(sizes, 0)), 8) + block;
+    const std::string zeros(8, '\0');
+    const XXH128_hash_t digest = XXH3_128bits(block.data(), block.size());
+    const std::string sum = number(records, 8) + number(digest.high64, 8) + number(digest.low64, 8);
+    return head + body + zeros + number(hash("", hash(zeros, 1)), 8) + sum + number(hash(sum, 1), 8);
+}
+
+TEST(TraceFile, IsAsItsPageSays) {
+    const std::vector<Record> records{{5, Event::asked, 7, 0, 300, 100000, 0},
+                                      {5, Event::repeats, 7, 0, 299, 1, 0},
+                                      {205, Event::over, 0, 0, 0, 0, 0}};
+    const std::string bytes =
+        std::string("\x00\x0d\x05\x07\xd8\x04\xa0\x8d\x06", 9) +  // 1 + 4 + 8; 2 x 300; 100,000
+        std::string("\x01\x0d\x00\x07\x01\x01", 6) +              // one back: 2 x 1 - 1
+        std::string(1, static_cast<char>(Event::over)) + std::string("\x00\xc8\x01", 3);
+    EXPECT_EQ(written({}, records).bytes, sealed(bytes, 3));
+    EXPECT_EQ(read_back(sealed(bytes, 3)).records, records);
+}
+
+// Blocks whose checksum is right and whose bytes are anything: refused or read, and what is read can be
+// written.
+TEST(TraceFile, AnyBytesInAWholeBlockAreReadOrRefused) {
+    const std::string good = [] {
+        Blocks blocks;
+        for (const Record& record : drawn(8, 20)) EXPECT_FALSE(blocks.add(record));
+        return std::string(blocks.take().bytes);
+    }();
+    Stream stream(9, Whose::hunt, 1);
+    std::size_t whole = 0, refused = 0;
+    for (int i = 0; i < 20000; ++i) {
+        std::string bytes = good;
+        for (std::uint64_t n = 1 + stream.below(3); n > 0; --n) {
+            bytes[stream.below(bytes.size())] = static_cast<char>(stream.below(256));
+        }
+        if (stream.chance(0.2)) bytes.resize(1 + stream.below(bytes.size()));
+        const auto records = static_cast<std::uint32_t>(stream.chance(0.9) ? 20 : 1 + stream.below(30));
+        const Back back = read_back(sealed(bytes, records));
+        ++(back.whole ? whole : refused);
+        EXPECT_EQ(read_back(written({}, back.records).bytes).records, back.records);
+        if (!back.whole) {
+            EXPECT_NE(back.damage.what.find("the block is whole, but record"), std::string::npos)
+                << back.damage.text();
+        }
+    }
+    EXPECT_GT(whole, 1000U);
+    EXPECT_GT(refused, 1000U);
+}
+
 // A stream that breaks: the writer says so at its end.
 TEST(TraceFile, AWriterSaysThatItsStreamFailed) {
     std::ostringstream out;
