--- a/lab/fleet/balancers.cpp
+++ b/lab/fleet/balancers.cpp
@@ -339,19 +339,23 @@
     void send(Side& side, core::Attempt attempt) {
         const std::uint64_t token = static_cast<const Handle&>(*attempt.payload).handle;
         const Try* const from = parts_.clients->find(token);
-        Flight flight{.balancer = number_,
-                      .process = process_,
-                      .pool = side.pool,
-                      .server = static_cast<std::uint32_t>(attempt.upstream - 1),
-                      .key = attempt.key,
-                      .call = from ? from->call : 0,
-                      .number = static_cast<std::uint32_t>(attempt.key.number),
-                      .sent = parts_.now(),
-                      .work = from ? from->work : Micros{1},
-                      .effect_key = from ? from->key : 0,
-                      .class_index = from ? from->class_index : 0,
-                      .stream = Stream(parts_.seed(), Whose::attempt, from ? from->call : 0,
-                                       static_cast<std::uint32_t>(attempt.key.number))};
+        const std::uint64_t call = from ? from->call : 0;
+        const auto number = static_cast<std::uint32_t>(attempt.key.number);
+        Flight flight(Stream(parts_.seed(), Whose::attempt, call, number));
+        flight.balancer = number_;
+        flight.zone = its_.zone;
+        flight.process = process_;
+        flight.pool = side.pool;
+        flight.server = static_cast<std::uint32_t>(attempt.upstream - 1);
+        flight.key = attempt.key;
+        flight.call = call;
+        flight.number = number;
+        flight.sent = parts_.now();
+        if (from) {
+            flight.work = from->work;
+            flight.effect_key = from->key;
+            flight.class_index = from->class_index;
+        }
         const std::uint64_t handle = parts_.flights->add(std::move(flight));
         side.flights.emplace(attempt.key, handle);
         Flight& its = *parts_.flights->find(handle);
--- a/lab/fleet/flights.h
+++ b/lab/fleet/flights.h
@@ -11,8 +11,10 @@
 namespace flaxdoor::lab {
 
 struct Flight {
+    explicit Flight(Stream its) : stream(std::move(its)) {}
     enum class Phase : std::uint8_t { connecting, out };
     std::uint32_t balancer = 0;
+    int zone = 0;               // the balancer's
     std::uint32_t process = 0;  // of the balancer, when it was sent
     std::uint32_t pool = 0;
     std::uint32_t server = 0;
--- a/lab/fleet/servers.cpp
+++ b/lab/fleet/servers.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "fleet/balancers.h"
 #include "fleet/network.h"
 
 namespace flaxdoor::lab {
@@ -253,7 +252,7 @@
         parts_.note(Event::replied, server.number, flight->balancer, flight->call, flight->number,
                     static_cast<std::uint64_t>(how == How::ok ? Reply::ok : Reply::error));
     }
-    const int to = parts_.balancers->zone(flight->balancer);
+    const int to = flight->zone;
     const bool arrives = parts_.network->passes(server.zone, to) &&
                          (how == How::reset || !parts_.network->loses_answer(flight->stream));
     if (!flight->awaited || !arrives) return parts_.flights->release(handle);
--- a/lab/hunt/hunt.cpp
+++ b/lab/hunt/hunt.cpp
@@ -176,19 +176,18 @@
         std::vector<std::string> subjects;
         for (const std::string& each : prey.wrong) subjects.push_back(subject(each));
         tell("world " + std::to_string(*found) + ": " + (prey.wrong.empty() ? "" : prey.wrong.front()));
-        const std::size_t until = played + options.shrinks;
-        for (bool again = true; again && played < until && !(options.stop && options.stop->load());) {
-            again = false;
+        // Counted as one thread would play them: more threads change nothing.
+        std::size_t left = options.shrinks;
+        while (left > 0 && !(options.stop && options.stop->load())) {
             const auto candidates = smaller(smallest);
-            const auto taken = first_that(std::min(candidates.size(), until - played), options.threads,
-                                          options.stop, [&](std::size_t i) {
-                                              return sound(candidates[i]) &&
-                                                     shows_one_of(wrong(candidates[i], seed), subjects);
-                                          });
+            const auto taken = first_that(
+                std::min(candidates.size(), left), options.threads, options.stop, [&](std::size_t i) {
+                    return sound(candidates[i]) && shows_one_of(wrong(candidates[i], seed), subjects);
+                });
             if (!taken) break;
+            left -= *taken + 1;
             smallest = candidates[*taken];
             ++prey.steps;
-            again = true;
             tell("smaller, step " + std::to_string(prey.steps));
         }
         prey.wrong = wrong(smallest, seed);
