--- a/lab/fleet/servers.h
+++ b/lab/fleet/servers.h
@@ -13,6 +13,9 @@
 
 namespace flaxdoor::lab {
 
+// Of a call as they come, in microseconds on a core of speed 1.
+double mean_work(const Experiment& experiment);
+
 class Servers {
 public:
     explicit Servers(Parts& parts);
@@ -76,6 +79,7 @@
     Parts& parts_;
     std::vector<Server> servers_;
     double shared_slow_ = 1;
+    double mean_work_ = 1;
     // Repeats of keyed effects: when an effect's window ends, by class, group and key.
     struct Effect {
         std::uint64_t who;
--- a/lab/fleet/world.cpp
+++ b/lab/fleet/world.cpp
@@ -73,6 +73,7 @@
         t.ramp_us = us(e.servers.ramp);
         t.fall_multiple = e.servers.fall_multiple;
         t.fall_span_us = us(e.servers.fall_span);
+        t.mean_work_us = mean_work(e);
         return t;
     }
 
--- a/lab/judge/cold.cpp
+++ b/lab/judge/cold.cpp
@@ -1,5 +1,7 @@
 #include "judge/cold.h"
 
+#include <cmath>
+
 namespace flaxdoor::lab {
 
 void Cold::up(const Record& up) {
@@ -23,8 +25,10 @@
 double Cold::bears(const Start& start, std::uint64_t now) const {
     const double grown = static_cast<double>(now - start.at) / static_cast<double>(terms_.ramp_us);
     const double share = terms_.cold_share + (1 - terms_.cold_share) * grown;
-    return terms_.fall_multiple * share * static_cast<double>(start.capacity) *
-           static_cast<double>(terms_.fall_span_us) / 1e6;
+    const double work = terms_.fall_multiple * share * static_cast<double>(start.capacity) *
+                        static_cast<double>(terms_.fall_span_us) / 1e6;
+    if (terms_.mean_work_us <= 0) return work;
+    return work + (3 * std::sqrt(work / terms_.mean_work_us) + 3) * terms_.mean_work_us;
 }
 
 void Cold::arrived(const Record& arrived) {
--- a/lab/judge/cold.h
+++ b/lab/judge/cold.h
@@ -1,8 +1,9 @@
 // Rule 4: no cold server is pushed over. A server that starts cold bears, in any span, the stated multiple of
-// what it can do at that instant: its share grows in a straight line from the cold share to all of its
-// capacity over the ramp. At the first span with more work than that it falls; the rule is broken when over
-// two thirds of that work came from balancers that had been told of the start when it arrived. Work counts
-// from its arrival, also what is turned away. A fall that the server itself tells is judged alike.
+// what it can do at that instant (its share grows in a straight line from the cold share to all of its
+// capacity over the ramp), and what chance may add, where the terms say so. At the first span with more work
+// than that it falls; the rule is broken when over two thirds of that work came from balancers that had been
+// told of the start when it arrived. Work counts from its arrival, also what is turned away. A fall that the
+// server itself tells is judged alike.
 //
 // Held: of cold servers, the arrivals within the last span.
 #pragma once
--- a/lab/trace/file.cpp
+++ b/lab/trace/file.cpp
@@ -125,6 +125,7 @@
     each("ramp_us", x.ramp_us);
     each("fall_multiple", x.fall_multiple);
     each("fall_span_us", x.fall_span_us);
+    each("mean_work_us", x.mean_work_us);
 }
 
 constexpr std::string_view effects[] = {"safe", "keyed", "unsafe"};
--- a/lab/trace/terms.h
+++ b/lab/trace/terms.h
@@ -40,6 +40,9 @@
     std::uint64_t ramp_us = 0;
     double fall_multiple = 0;  // 0: the rule is not told
     std::uint64_t fall_span_us = 0;
+    // What chance alone may add before a server falls: of n calls of this work, which are what it bears,
+    // three times their root and three more. 0: nothing.
+    double mean_work_us = 0;
     friend bool operator==(const Terms&, const Terms&) = default;
 };
 
