--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -556,7 +556,7 @@
 of = "answered"
 least = 0.8
 )"));
-    for (auto& variant : plan.variants) {
+    for (Variant& variant : plan.variants) {
         set(variant.values, {0, 2, std::nullopt}, Micros(seconds(4)));  // experiment.lasts
     }
     HuntOptions options;
