--- a/lab/apps/flaxdoor_lab.cpp
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -3,6 +3,7 @@
 //   understood; 3: stopped before all was done.
 #include <CLI/CLI.hpp>
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -211,8 +212,9 @@
     for (std::size_t n = 0; n < plan->cells(); ++n) {
         ExploreOptions options;
         options.paths_most = words.paths;
-        options.time_most = std::chrono::seconds(words.seconds);
-        options.stop = &stop;
+        options.enough = [until = std::chrono::steady_clock::now() + std::chrono::seconds(words.seconds)] {
+            return stop || std::chrono::steady_clock::now() >= until;
+        };
         options.progress = [](const Covered& now) {
             std::fprintf(stderr, "\r%llu orders, %llu states ", static_cast<unsigned long long>(now.paths),
                          static_cast<unsigned long long>(now.states));
--- a/lab/explore/explore.cpp
+++ b/lab/explore/explore.cpp
@@ -71,15 +71,13 @@
 
 Explored explore(const Experiment& experiment, const ExploreOptions& options) {
     Explored result;
-    const auto until = std::chrono::steady_clock::now() + options.time_most;
     std::unordered_set<std::uint64_t> seen;
     // Paths to be gone into: each is a list of choices that ends with one not taken yet.
     std::vector<std::vector<std::uint32_t>> todo{{}};
     while (!todo.empty()) {
         Covered& covered = result.covered;
         const bool enough = covered.paths >= options.paths_most || seen.size() >= options.states_most ||
-                            std::chrono::steady_clock::now() >= until ||
-                            (options.stop && options.stop->load());
+                            (options.enough && options.enough());
         if (enough) return result;
         const std::vector<std::uint32_t> choices = std::move(todo.back());
         todo.pop_back();
--- a/lab/explore/explore.h
+++ b/lab/explore/explore.h
@@ -8,11 +8,10 @@
 //
 // Limits: servers' room for connections must not be reached (it is shared by balancers and is no entity); a
 //         visited state is known by 64 bits (XXH3), so one of some billions may be left out unseen.
-// Bounds: paths, states, real time.
+// Bounds: paths, states, and whenever its caller has had enough.
 #pragma once
 
-#include <atomic>
-#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,8 +25,7 @@
 struct ExploreOptions {
     std::size_t paths_most = 100'000;
     std::size_t states_most = 10'000'000;
-    std::chrono::seconds time_most{600};
-    const std::atomic<bool>* stop = nullptr;
+    std::function<bool()> enough;                         // asked before each path; null: never
     std::function<void(const struct Covered&)> progress;  // now and then
 };
 
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -42,7 +42,7 @@
         fleet) echo "core experiment flaxdoor random trace" ;;
         run) echo "experiment fleet judge standins trace" ;;
         report) echo "run trace" ;;
-        hunt) echo "experiment random run" ;;
+        hunt) echo "experiment random run settings" ;;
         explore) echo "experiment fleet judge trace" ;;
         real) echo "experiment run standins trace" ;;
         apps) echo "experiment explore fleet hunt judge real report run settings trace" ;;
