The keeper's tests: a list of one is written as a list

Need: json x = {one} is a list for g++ and a copy of the one for clang++; the sanitized build is made by clang++, and nine of the keeper's tests failed there with "setting missing: services.count". Change: json::array. Result: the same under g++; the meaning no longer depends on the compiler.

--- a/tests/recovery/keeper_test.cpp
+++ b/tests/recovery/keeper_test.cpp
@@ -117,7 +117,7 @@
 
 struct Stage {
     Stage() : node(loop, node_settings()), config(plain(loop::text_of(node.address()))) {
-        config["settings"]["services"] = {service("look", "idempotent", 500, 3000)};
+        config["settings"]["services"] = json::array({service("look", "idempotent", 500, 3000)});
     }
     ~Stage() {
         disk->let_go();
