Black-box suite: a list of one is written as a list

Need: json x = {one} is a list for g++ and a copy of the one for clang++; six tests failed there. Change: json::array in Discovery's and Faults' four places.

--- a/tests/suite/discovery_test.cpp
+++ b/tests/suite/discovery_test.cpp
@@ -44,7 +44,7 @@
         Stage s;
         s.start();
         const auto watch = s.watch();
-        json hosts = {s.upstream(0, "leaving")};
+        json hosts = json::array({s.upstream(0, "leaving")});
         if (unusable_beside) {
             hosts.push_back(s.upstream(0));
             hosts[1]["host"] = "s-new";
@@ -119,7 +119,7 @@
           Case{"left among changes", false, "s-new", 0, true}, Case{"moved", false, "s-0", 1, false}}) {
         SCOPED_TRACE(now.what);
         Stage s;
-        s.config["known"]["hosts"] = {s.upstream(0)};
+        s.config["known"]["hosts"] = json::array({s.upstream(0)});
         s.start();
         const auto watch = s.watch();
         const auto client = s.client();
--- a/tests/suite/faults_test.cpp
+++ b/tests/suite/faults_test.cpp
@@ -195,12 +195,12 @@
 // Fault: a list that is longer than 256 KiB in one line is turned down, and with it every later one.
 TEST(Faults, AListOfFiveThousandIsTaken) {
     Stage s;
-    s.config["known"]["hosts"] = {s.upstream(0)};
+    s.config["known"]["hosts"] = json::array({s.upstream(0)});
     s.start();
     const auto watch = s.watch();
     const auto client = s.client();
     const auto kept = s.serve(*client);
-    json hosts = {s.upstream(1)};
+    json hosts = json::array({s.upstream(1)});
     for (int i = 0; i < 4999; ++i)
         hosts.push_back(Stage::entry("s-far-" + std::to_string(i), loopback(9), "leaving"));
     watch->say(watch_head + Stage::news(9, true, hosts) + chunk("\n"));
