Gateway: a list of another history makes the status writer forget versions

Cause: after an API server came back with an older history, its versions were given again; a status that had been refused or found settled at a version was skipped when another object state had that number, and stayed unwritten until the next change. Change: StatusWriter::listed, told with every whole list, forgets what it knew of that kind's versions.

--- a/src/gateway/status.cpp
+++ b/src/gateway/status.cpp
@@ -158,6 +158,14 @@
     wanted_ = std::move(wanted);
 }
 
+void StatusWriter::listed(KindOf kind) {
+    for (auto& [place, entry] : wanted_) {
+        if (place.first != kind) continue;
+        entry.refused = false;
+        entry.settled_version.clear();
+    }
+}
+
 bool StatusWriter::take_token(Time now) {
     if (filled_ > Time{}) {
         const double seconds = static_cast<double>((now - filled_).count()) / 1e6;
--- a/src/gateway/status.h
+++ b/src/gateway/status.h
@@ -51,6 +51,9 @@
 
     // All that statuses should say. What is not named is of no concern any more.
     void want(std::vector<Desired> all);
+    // A whole list of this kind came: what was learned of versions is forgotten. The list may be of another history,
+    // which gives the numbers of the last one again.
+    void listed(KindOf kind);
     // The next write, if one is due and none is under way. `holds`: this process may write at all.
     [[nodiscard]] std::optional<Write> next(Time now, bool holds, const Resources& resources);
     // How the write under way ended. `chance` from 0 to below 1. With `done` the object is to be put into the
--- a/src/ingress/cluster.cpp
+++ b/src/ingress/cluster.cpp
@@ -191,6 +191,7 @@
             case kube::Change::Kind::erase: controller_.erase(kind, gateway::key_of(change.object)); break;
             case kube::Change::Kind::list:
                 ++figures_.lists;
+                writer_.listed(kind);
                 for (const auto& refused : controller_.list(clock_.now(), kind, change.objects))
                     complain(refused);
                 if (!synced_ && std::all_of(follows_.begin(), follows_.end(),
--- a/tests/gateway/random_test.cpp
+++ b/tests/gateway/random_test.cpp
@@ -196,6 +196,7 @@
                     controller.erase(follow.kind, key_of(news->object));
                 if (news->kind == kube::Change::Kind::list) {
                     (void)controller.list(now, follow.kind, news->objects);
+                    writer.listed(follow.kind);
                     ++lists;
                 }
             }
