Lab: real mode, the same file against the daemon on loopback

The lab's models had nothing real to be held against: experiment.real was read and nothing more. lab/real scales an experiment by a stated rule, takes its calls and timetable from the emulated world of the same part, and plays them with the daemon as processes, stand-in nodes and rosters, and open-loop clients; both sides are judged and printed beside each other.

--- a/lab/apps/flaxdoor_lab.cpp
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -18,6 +18,8 @@
 #include "hunt/hunt.h"
 #include "judge/judge.h"
 #include "judge/story.h"
+#include "real/compare.h"
+#include "real/play.h"
 #include "report/report.h"
 #include "run/runner.h"
 #include "settings/page.h"
@@ -58,14 +60,21 @@
     return 0;
 }
 
-std::vector<nlohmann::json> cells_in(const fs::path& folder) {
-    std::vector<nlohmann::json> cells;
-    std::ifstream in(folder / "cells.jsonl");
-    if (!in) throw std::runtime_error((folder / "cells.jsonl").string() + ": no run is kept there");
+// Whole lines of a file of JSON lines; none where there is no file.
+std::vector<nlohmann::json> lines_in(const fs::path& file) {
+    std::vector<nlohmann::json> all;
+    std::ifstream in(file);
     for (std::string line; std::getline(in, line);) {
-        auto cell = nlohmann::json::parse(line, nullptr, false);
-        if (!cell.is_discarded()) cells.push_back(std::move(cell));
+        auto one = nlohmann::json::parse(line, nullptr, false);
+        if (!one.is_discarded()) all.push_back(std::move(one));
     }
+    return all;
+}
+
+std::vector<nlohmann::json> cells_in(const fs::path& folder) {
+    if (!fs::exists(folder / "cells.jsonl"))
+        throw std::runtime_error((folder / "cells.jsonl").string() + ": no run is kept there");
+    auto cells = lines_in(folder / "cells.jsonl");
     std::sort(cells.begin(), cells.end(), [](const auto& a, const auto& b) { return a["cell"] < b["cell"]; });
     return cells;
 }
@@ -78,12 +87,80 @@
         name = plan->name;
         question = plan->question;
     }
-    std::ofstream(folder / "report.html", std::ios::binary) << html_of(name, question, text, cells);
+    std::ofstream(folder / "report.html", std::ios::binary)
+        << html_of(name, question, text, cells, lines_in(folder / "real.jsonl"));
     std::ofstream(folder / "cells.csv", std::ios::binary) << csv_of(cells);
 }
 
+// The daemon beside this program.
+std::string balancer_beside() {
+    std::error_code error;
+    const fs::path self = fs::read_symlink("/proc/self/exe", error);
+    return (self.parent_path() / "flaxdoor_balancer").string();
+}
+
+struct RealWords {
+    std::string file, out, balancer = balancer_beside();
+    bool traces = false, quiet = false;
+    std::vector<std::uint64_t> seeds;
+};
+
+// The first seed of each variant, one after another; what came of them goes to real.jsonl.
+int play_real(const Plan& plan, const RealWords& words) {
+    if (!fs::exists(words.balancer)) {
+        throw std::runtime_error(words.balancer +
+                                 ": the balancer's program is not there; name it with --balancer");
+    }
+    std::ofstream lines;
+    if (!words.out.empty()) {
+        fs::create_directories(words.out);
+        lines.open(fs::path(words.out) / "real.jsonl", std::ios::trunc);
+        if (!lines) throw std::runtime_error(words.out + ": real.jsonl can't be written");
+    }
+    bool held = true;
+    for (std::size_t v = 0; v < plan.variants.size(); ++v) {
+        const Experiment whole = plan.cell(v * plan.seeds.size());
+        real::PlayOptions options;
+        options.program = words.balancer;
+        options.stop = &stop;
+        if (words.traces && !words.out.empty())
+            options.trace_file = (fs::path(words.out) / ("real" + std::to_string(v) + ".trace")).string();
+        if (!words.quiet) {
+            options.progress = [&](double seconds, double of) {
+                std::fprintf(stderr, "\rreal %zu of %zu: %.0f of %.0f s ", v + 1, plan.variants.size(),
+                             seconds, of);
+            };
+        }
+        const auto played = real::play(whole, options);
+        if (!words.quiet) std::fputc('\n', stderr);
+        if (!played) {
+            std::cout << "stopped: " << v << " of " << plan.variants.size()
+                      << " variants were played for real\n";
+            return stopped_early;
+        }
+        const auto line = real::to_json(whole, *played);
+        std::cout << real::table_of(line) << std::flush;
+        if (lines.is_open()) lines << line.dump() << "\n" << std::flush;
+        held &= real::holds(line);
+    }
+    return held ? 0 : unmet;
+}
+
+int real_file(const RealWords& words) {
+    auto plan = plan_in(words.file);
+    if (!plan) return unmet;
+    if (!plan->real) {
+        std::cerr << words.file << ": experiment.real is not set; write real = true\n";
+        return unmet;
+    }
+    if (!words.seeds.empty()) plan->seeds = words.seeds;
+    std::signal(SIGINT, [](int) { stop = true; });
+    std::signal(SIGTERM, [](int) { stop = true; });
+    return play_real(*plan, words);
+}
+
 struct RunWords {
-    std::string file, out;
+    std::string file, out, balancer = balancer_beside();
     unsigned threads = std::max(1U, std::thread::hardware_concurrency());
     bool resume = false, traces = false, quiet = false;
     std::vector<std::uint64_t> seeds;
@@ -106,6 +183,7 @@
         };
     }
     std::signal(SIGINT, [](int) { stop = true; });
+    std::signal(SIGTERM, [](int) { stop = true; });
     const Run result = run(*plan, options);
     if (!words.quiet) std::fputc('\n', stderr);
     std::cout << table_of(result.cells);
@@ -129,6 +207,17 @@
                   << " worlds are done; go on with --resume\n";
         return stopped_early;
     }
+    if (plan->real) {
+        RealWords real;
+        real.out = words.out;
+        real.balancer = words.balancer;
+        real.traces = words.traces;
+        real.quiet = words.quiet;
+        std::cout << "\nfor real:\n";
+        const int came = play_real(*plan, real);
+        if (!words.out.empty()) write_report(words.out, result.cells);
+        if (came != 0) return came;
+    }
     return met ? 0 : unmet;
 }
 
@@ -258,8 +347,20 @@
     run_command->add_flag("--resume", run_words.resume, "go on with what is in the folder");
     run_command->add_flag("--traces", run_words.traces, "keep a trace of each world");
     run_command->add_flag("-q,--quiet", run_words.quiet, "no progress");
+    run_command->add_option("--balancer", run_words.balancer, "where real = true: the daemon's program");
     run_command->callback([&] { todo = [&] { return run_file(run_words); }; });
 
+    RealWords real_words;
+    CLI::App* const real_command = program.add_subcommand(
+        "real", "Play a part of an experiment (real = true) with the daemon as processes on loopback");
+    real_command->add_option("FILE", real_words.file)->required();
+    real_command->add_option("-o,--out", real_words.out, "keep results in this folder");
+    real_command->add_option("--balancer", real_words.balancer, "the daemon's program");
+    real_command->add_option("--seed", real_words.seeds, "this seed in place of the file's first");
+    real_command->add_flag("--traces", real_words.traces, "keep a trace of each, for `judge` and `story`");
+    real_command->add_flag("-q,--quiet", real_words.quiet, "no progress");
+    real_command->callback([&] { todo = [&] { return real_file(real_words); }; });
+
     HuntWords hunt_words;
     hunt_words.options.threads = run_words.threads;
     CLI::App* const hunt_command = program.add_subcommand(
--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -156,6 +156,17 @@
     Micros span{};             // p99, recovers
 };
 
+// The part of an experiment that real processes play, and how far they may part from what was foretold.
+struct RealPart {
+    int balancers = 2;
+    int servers = 6;
+    Micros lasts{20000000};
+    double rate_share = 1;                    // of the load that a server has in the whole experiment
+    double share_within = 0.03;               // served share, by so much
+    double p50_within = 1.5, p99_within = 2;  // by these factors, or by `span_within`
+    Micros span_within{3000};
+};
+
 struct Experiment {
     std::string name;
     std::string question;
@@ -176,6 +187,7 @@
     std::vector<Expectation> expectations;
     Settings module;  // what balancers are told beyond classes, tenants, zones and figures of servers
     bool real = false;
+    RealPart real_part;
 };
 
 }  // namespace flaxdoor::lab
--- a/lab/experiment/keys.h
+++ b/lab/experiment/keys.h
@@ -80,6 +80,76 @@
 
 }  // namespace experiment
 
+namespace real {
+
+inline constexpr Key<std::int64_t> balancers{{.table = "real",
+                                              .name = "balancers",
+                                              .fallback = 2,
+                                              .least = 1,
+                                              .most = 32,
+                                              .unit = "balancers",
+                                              .takes = settings::Takes::restart,
+                                              .meaning = "How many real balancers there are at most."}};
+inline constexpr Key<std::int64_t> servers{
+    {.table = "real",
+     .name = "servers",
+     .fallback = 6,
+     .least = 1,
+     .most = 200,
+     .unit = "servers",
+     .takes = settings::Takes::restart,
+     .meaning = "How many stand-in nodes there are at most at the beginning."}};
+inline constexpr Key<Micros> lasts{
+    {.table = "real",
+     .name = "lasts",
+     .fallback = std::chrono::seconds(20),
+     .least = std::chrono::milliseconds(100),
+     .most = std::chrono::hours(1),
+     .takes = settings::Takes::restart,
+     .meaning = "How long it goes on at most; troubles come and go by the same proportion."}};
+inline constexpr Key<double> rate_share{{.table = "real",
+                                         .name = "rate_share",
+                                         .fallback = 1.0,
+                                         .least = 0.001,
+                                         .most = 10.0,
+                                         .unit = "share",
+                                         .takes = settings::Takes::restart,
+                                         .meaning = "Of the calls that each server has in the whole "
+                                                    "experiment, for a machine that can not carry them."}};
+inline constexpr Key<double> share_within{
+    {.table = "real",
+     .name = "share_within",
+     .fallback = 0.03,
+     .least = 0.0,
+     .most = 1.0,
+     .unit = "share",
+     .takes = settings::Takes::restart,
+     .meaning = "How far the served share may part from what was foretold."}};
+inline constexpr Key<double> p50_within{{.table = "real",
+                                         .name = "p50_within",
+                                         .fallback = 1.5,
+                                         .least = 1.0,
+                                         .most = 100.0,
+                                         .unit = "times",
+                                         .takes = settings::Takes::restart,
+                                         .meaning = "By which factor p50 may part."}};
+inline constexpr Key<double> p99_within{{.table = "real",
+                                         .name = "p99_within",
+                                         .fallback = 2.0,
+                                         .least = 1.0,
+                                         .most = 100.0,
+                                         .unit = "times",
+                                         .takes = settings::Takes::restart,
+                                         .meaning = "By which factor p99 may part."}};
+inline constexpr Key<Micros> span_within{
+    {.table = "real",
+     .name = "span_within",
+     .fallback = std::chrono::milliseconds(3),
+     .takes = settings::Takes::restart,
+     .meaning = "Percentiles that differ by no more than this do not part, whatever the factor."}};
+
+}  // namespace real
+
 namespace fleet {
 
 inline constexpr Key<std::int64_t> balancers{{.table = "fleet",
--- a/lab/experiment/plan.cpp
+++ b/lab/experiment/plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <sstream>
@@ -153,6 +154,78 @@
     return std::nullopt;
 }
 
+// What stand-ins on one machine can't play.
+std::optional<Objection> real_can(const Values& values) {
+    if (!values.get(keys::experiment::real)) return std::nullopt;
+    const std::string mend = "or leave real out";
+    const auto against = [&](const char* table, const char* key, const std::string& what,
+                             const std::string& how) {
+        return Objection{"real = true: " + what, how + ", " + mend,
+                         place_of(values.rows(table).front(), key)};
+    };
+    if (values.get(keys::experiment::grid) > Micros{0})
+        return against("experiment", "grid", "the clock of a machine has no grid", "leave grid out");
+    if (values.get(keys::roster::mode) != RosterMode::pushed)
+        return against("roster", "mode", "only a pushed roster is played", "write mode = \"pushed\"");
+    if (values.get(keys::roster::nonsense) > 0)
+        return against("roster", "nonsense", "nonsense of the roster is not played", "leave nonsense out");
+    if (values.get(keys::postgres::rate) > 0)
+        return against("postgres", "rate", "PostgreSQL is not played", "leave rate out");
+    const auto servers = std::min(values.get(keys::servers::count), values.get(keys::real::servers));
+    double factor = 1;
+    for (const Row& row : values.rows("trouble")) {
+        using Kind = Trouble::Kind;
+        const Kind kind = row.get(keys::trouble::kind);
+        switch (kind) {
+            case Kind::zone_lost:
+            case Kind::zone_cut:
+            case Kind::answers_lost:
+            case Kind::resets:
+            case Kind::late_connect:
+            case Kind::roster_silent:
+            case Kind::roster_down:
+            case Kind::primary_lost:
+                return Objection{"real = true: stand-ins on one machine can't play " +
+                                     settings::in_quotes(keys::trouble_words[static_cast<std::size_t>(kind)]),
+                                 "leave this trouble out, " + mend, place_of(row, "kind")};
+            case Kind::burst:
+            case Kind::tenant_flood: factor *= std::max(1.0, row.get(keys::trouble::size)); break;
+            default: break;
+        }
+        const std::string on = row.get(keys::trouble::on);
+        if (!on.starts_with("server ")) continue;
+        if (std::strtoll(on.c_str() + 7, nullptr, 10) >= servers) {
+            return Objection{"real = true: " + settings::in_quotes(on) + " is not among the " +
+                                 std::to_string(servers) + " that are real",
+                             "raise real.servers, or name an earlier one", place_of(row, "on")};
+        }
+    }
+    const Row* keyed = nullptr;
+    for (const Row& row : values.rows("class")) {
+        if (row.get(keys::of_class::effect) != Effect::keyed) continue;
+        if (keyed && (keyed->get(keys::of_class::group) != row.get(keys::of_class::group) ||
+                      keyed->get(keys::of_class::window) != row.get(keys::of_class::window))) {
+            return Objection{"real = true: a stand-in node has one window for all keys",
+                             "give all keyed classes one group and window, " + mend, place_of(row, "window")};
+        }
+        keyed = &row;
+    }
+    const double seconds =
+        static_cast<double>(
+            std::min(values.get(keys::experiment::lasts), values.get(keys::real::lasts)).count()) /
+        1e6;
+    const double calls = values.get(keys::clients::rate) * values.get(keys::real::rate_share) * factor *
+                         seconds * static_cast<double>(servers) /
+                         static_cast<double>(values.get(keys::servers::count));
+    if (calls > static_cast<double>(real_calls_most)) {
+        return against("real", "lasts",
+                       "some " + std::to_string(static_cast<std::int64_t>(calls)) + " calls, at most " +
+                           std::to_string(real_calls_most) + " are played",
+                       "lower real.rate_share, real.servers or real.lasts");
+    }
+    return std::nullopt;
+}
+
 // ---------------------------------------------------------------------------------------------------- axes
 
 std::optional<Objection> find_setting(const Values& values, const std::string& key, SettingPlace& place) {
@@ -315,6 +388,10 @@
          .settings = {k::experiment::name, k::experiment::question, k::experiment::lasts,
                       k::experiment::settles, k::experiment::first_seed, k::experiment::seeds,
                       k::experiment::grid, k::experiment::real}},
+        {.name = "real",
+         .meaning = "The part that real processes play, where experiment.real is set.",
+         .settings = {k::real::balancers, k::real::servers, k::real::lasts, k::real::rate_share,
+                      k::real::share_within, k::real::p50_within, k::real::p99_within, k::real::span_within}},
         {.name = "fleet",
          .meaning = "The balancers.",
          .settings = {k::fleet::balancers, k::fleet::front_notices, k::fleet::knows_start}},
@@ -407,7 +484,13 @@
                    {{"trouble.kind", "trouble.on", "expect.on", "servers.count"},
                     "What is named is there.",
                     known_target},
-                   {{"trouble.kind", "postgres.rate"}, "A primary that is lost is there.", primary_to_lose}});
+                   {{"trouble.kind", "postgres.rate"}, "A primary that is lost is there.", primary_to_lose},
+                   {{"experiment.real", "experiment.lasts", "experiment.grid", "trouble.kind", "trouble.on",
+                     "trouble.size", "class.effect", "class.group", "class.window", "servers.count",
+                     "clients.rate", "roster.mode", "roster.nonsense", "postgres.rate", "real.servers",
+                     "real.lasts", "real.rate_share"},
+                    "What is to be real can be played by stand-ins on one machine.",
+                    real_can}});
 }
 
 std::variant<Plan, Faults> read_plan_text(std::string_view text) {
@@ -465,6 +548,10 @@
     e.settles = values.get(k::experiment::settles);
     e.grid = values.get(k::experiment::grid);
     e.real = values.get(k::experiment::real);
+    e.real_part = {whole(k::real::balancers),         whole(k::real::servers),
+                   values.get(k::real::lasts),        values.get(k::real::rate_share),
+                   values.get(k::real::share_within), values.get(k::real::p50_within),
+                   values.get(k::real::p99_within),   values.get(k::real::span_within)};
     e.fleet.balancers = whole(k::fleet::balancers);
     e.fleet.front_notices = values.get(k::fleet::front_notices);
     e.fleet.knows_start = values.get(k::fleet::knows_start);
--- a/lab/experiment/plan.h
+++ b/lab/experiment/plan.h
@@ -18,6 +18,9 @@
 
 namespace flaxdoor::lab {
 
+// Calls that real mode plays at most: what it saw of them is held until its end.
+inline constexpr std::size_t real_calls_most = 100'000;
+
 // One variant of the matrix: which value each axis has, as "balancers=30 late=5s".
 struct Variant {
     std::string name;  // empty where there is no axis
--- a/lab/fleet/clients.cpp
+++ b/lab/fleet/clients.cpp
@@ -103,20 +103,17 @@
     next.first = (std::uint64_t{number} + 1) << 32U | ++client.calls;
     next.client = number;
     next.tenant = client.tenant;
-    Stream stream(e.seed, Whose::call, next.first);
     if (client.postgres) {
+        Stream stream(e.seed, Whose::call, next.first);
         next.class_index = static_cast<int>(e.classes.size());
         next.work = drawn(e.postgres.work, stream);
     } else {
-        next.class_index = by_parts(
-            e.classes, [](const CallClass& c) { return c.share; }, stream.share());
-        const CallClass& its = e.classes[static_cast<std::size_t>(next.class_index)];
-        Draw work = its.work;
-        next.work = drawn(work, stream);
+        const DrawnCall call = draw_call(e, next.first);
+        next.class_index = call.class_index;
         const double heavier = heavier_[static_cast<std::size_t>(next.class_index)];
         next.work =
-            Micros(std::max<std::int64_t>(1, std::llround(static_cast<double>(next.work.count()) * heavier)));
-        if (its.told.effect == flaxdoor::Effect::keyed) next.key = static_cast<std::uint32_t>(stream()) | 1U;
+            Micros(std::max<std::int64_t>(1, std::llround(static_cast<double>(call.work.count()) * heavier)));
+        next.key = call.key;
     }
     send(next);
 }
@@ -126,29 +123,21 @@
     const Client& client = clients_[next.client];
     // Three bits of a call's number are its try's.
     next.call = next.first << 3U | static_cast<std::uint64_t>(next.number);
-    Stream stream(e.seed, Whose::call, next.first, 1 + static_cast<std::uint32_t>(next.number));
+    Stream stream = stream_of_try(e.seed, next.first, next.number);
     const Micros deadline = client.postgres
                                 ? e.postgres.deadline
                                 : e.classes[static_cast<std::size_t>(next.class_index)].told.deadline;
-    const double least = e.clients.patience_least;
-    const auto of_deadline = [&](double share) {
-        return Micros(static_cast<std::int64_t>(static_cast<double>(deadline.count()) * share));
-    };
+    const DrawnTry its = draw_try(e.clients, deadline, stream);
     next.asked = parts_.now();
-    // Whole milliseconds, as the clients' header counts.
-    next.gives_up = next.asked + std::max<Micros>(std::chrono::milliseconds(1),
-                                                  std::chrono::floor<std::chrono::milliseconds>(
-                                                      of_deadline(least + (1 - least) * stream.share())));
-    const bool leaves = stream.chance(e.clients.leave);
-    const double when = stream.share();
-    if (leaves) next.leaves = next.asked + of_deadline(least * when);
-    const double pick = stream.share();
+    next.gives_up = next.asked + its.patience;
+    const bool leaves = its.leaves.has_value();
+    if (leaves) next.leaves = next.asked + *its.leaves;
     // A zone without a balancer: the layer sends to any.
     const std::vector<std::uint32_t>* front = &front_[static_cast<std::size_t>(client.zone)];
     for (std::size_t z = 0; front->empty() && z < front_.size(); ++z) front = &front_[z];
     const bool nobody = front->empty();
     next.balancer =
-        nobody ? 0 : (*front)[static_cast<std::size_t>(pick * static_cast<double>(front->size()))];
+        nobody ? 0 : (*front)[static_cast<std::size_t>(its.pick * static_cast<double>(front->size()))];
     const Asked asked{static_cast<std::uint8_t>(next.class_index), static_cast<std::uint8_t>(client.zone),
                       static_cast<std::uint16_t>(std::max(0, next.tenant)), next.key};
     parts_.note(Event::asked, next.client, next.balancer, next.call,
@@ -224,22 +213,17 @@
 }
 
 void Clients::again(const Try& over, bool refused, Micros retry_after) {
-    const auto& its = parts_.experiment.clients;
-    if (its.repeats == Repeats::none || over.number >= std::min(its.repeats_most, 7)) return;
     const bool unit = static_cast<std::size_t>(over.class_index) >= parts_.experiment.classes.size();
-    // What may have run and must not twice is not asked for again by itself.
     const bool unsafe =
         unit || parts_.experiment.classes[static_cast<std::size_t>(over.class_index)].told.effect ==
                     flaxdoor::Effect::unsafe;
-    if (unsafe && !refused) return;
-    Stream stream(parts_.seed(), Whose::network, over.call, 2);
-    const double spread = 0.5 + stream.share();
-    Micros wait(static_cast<std::int64_t>(static_cast<double>(its.wait.count()) * spread));
-    if (its.repeats == Repeats::heeding && retry_after > Micros{0}) wait = retry_after;
+    const auto wait = asks_again(parts_.experiment.clients, parts_.seed(),
+                                 {over.call, static_cast<int>(over.number), unsafe, refused, retry_after});
+    if (!wait) return;
     Try next = over;
     ++next.number;
     const std::uint64_t handle = tries_.add(next);
-    parts_.scheduler.set(parts_.now() + wait, What::client_repeats, over.client, handle);
+    parts_.scheduler.set(parts_.now() + *wait, What::client_repeats, over.client, handle);
 }
 
 void Clients::repeats(std::uint32_t, std::uint64_t handle) {
--- a/lab/fleet/draw.cpp
+++ b/lab/fleet/draw.cpp
@@ -26,4 +26,55 @@
     return Micros(std::max<std::int64_t>(1, std::llround(std::min(value, 3.6e9))));
 }
 
+DrawnCall draw_call(const Experiment& e, std::uint64_t first) {
+    Stream stream(e.seed, Whose::call, first);
+    DrawnCall call;
+    double sum = 0;
+    for (const CallClass& c : e.classes) sum += c.share;
+    double place = stream.share() * sum;
+    call.class_index = static_cast<int>(e.classes.size()) - 1;
+    for (std::size_t i = 0; i < e.classes.size(); ++i) {
+        place -= e.classes[i].share;
+        if (place >= 0) continue;
+        call.class_index = static_cast<int>(i);
+        break;
+    }
+    const CallClass& its = e.classes[static_cast<std::size_t>(call.class_index)];
+    call.work = drawn(its.work, stream);
+    if (its.told.effect == flaxdoor::Effect::keyed) call.key = static_cast<std::uint32_t>(stream()) | 1U;
+    return call;
+}
+
+Stream stream_of_try(std::uint64_t seed, std::uint64_t first, int number) {
+    return Stream(seed, Whose::call, first, 1 + static_cast<std::uint32_t>(number));
+}
+
+DrawnTry draw_try(const ClientModel& clients, Micros deadline, Stream& stream) {
+    const double least = clients.patience_least;
+    const auto of_deadline = [&](double share) {
+        return Micros(static_cast<std::int64_t>(static_cast<double>(deadline.count()) * share));
+    };
+    DrawnTry next;
+    // Whole milliseconds, as the clients' header counts.
+    next.patience = std::max<Micros>(
+        std::chrono::milliseconds(1),
+        std::chrono::floor<std::chrono::milliseconds>(of_deadline(least + (1 - least) * stream.share())));
+    const bool leaves = stream.chance(clients.leave);
+    const double when = stream.share();
+    if (leaves) next.leaves = of_deadline(least * when);
+    next.pick = stream.share();
+    return next;
+}
+
+std::optional<Micros> asks_again(const ClientModel& clients, std::uint64_t seed, const Over& over) {
+    if (clients.repeats == Repeats::none || over.number >= std::min(clients.repeats_most, 7))
+        return std::nullopt;
+    // What may have run and must not twice is not asked for again by itself.
+    if (over.unsafe && !over.refused) return std::nullopt;
+    Stream stream(seed, Whose::network, over.call, 2);
+    const double spread = 0.5 + stream.share();
+    if (clients.repeats == Repeats::heeding && over.retry_after > Micros{0}) return over.retry_after;
+    return Micros(static_cast<std::int64_t>(static_cast<double>(clients.wait.count()) * spread));
+}
+
 }  // namespace flaxdoor::lab
--- a/lab/fleet/parts.h
+++ b/lab/fleet/parts.h
@@ -2,6 +2,8 @@
 // through this alone, and nothing of it is used before all of them stand (World's constructor).
 #pragma once
 
+#include <optional>
+
 #include "experiment/experiment.h"
 #include "fleet/scheduler.h"
 #include "random/stream.h"
@@ -43,4 +45,32 @@
 // A number drawn by its law; at least a microsecond.
 Micros drawn(const Draw& draw, Stream& stream);
 
+// What a client's call is, by its number and nothing else.
+struct DrawnCall {
+    int class_index = 0;
+    Micros work{};
+    std::uint32_t key = 0;  // of a keyed class
+};
+DrawnCall draw_call(const Experiment& experiment, std::uint64_t first);
+
+// One try of it: when its client gives up and when it leaves (none: not), and its place among the balancers.
+struct DrawnTry {
+    Micros patience{};
+    std::optional<Micros> leaves;
+    double pick = 0;
+};
+DrawnTry draw_try(const ClientModel& clients, Micros deadline, Stream& stream);
+// Whose stream that is.
+Stream stream_of_try(std::uint64_t seed, std::uint64_t first, int number);
+
+// Whether a client asks again after this, and if so how long it waits.
+struct Over {
+    std::uint64_t call = 0;  // with its try's number
+    int number = 0;          // of the try
+    bool unsafe = false;
+    bool refused = false;
+    Micros retry_after{};
+};
+std::optional<Micros> asks_again(const ClientModel& clients, std::uint64_t seed, const Over& over);
+
 }  // namespace flaxdoor::lab
--- a/lab/fleet/troubles.h
+++ b/lab/fleet/troubles.h
@@ -18,6 +18,10 @@
     void begins(std::uint64_t number);
     void ends(std::uint64_t number);
     void step(std::uint64_t number, std::uint64_t which);
+    // The servers that a trouble hits, drawn or named.
+    const std::vector<std::uint32_t>& servers_hit(std::size_t number) const {
+        return planned_[number].servers;
+    }
 
 private:
     struct Planned {
--- a/lab/fleet/world.cpp
+++ b/lab/fleet/world.cpp
@@ -77,6 +77,10 @@
         return t;
     }
 
+    const std::vector<std::uint32_t>& servers_hit(std::size_t trouble) const {
+        return troubles_->servers_hit(trouble);
+    }
+
     bool step() {
         if (over_) return false;
         const Happening h = scheduler_.next();
@@ -186,6 +190,9 @@
     : impl_(std::make_unique<Impl>(experiment, sink, chooser)) {}
 World::~World() = default;
 Terms World::terms() const { return impl_->terms(); }
+const std::vector<std::uint32_t>& World::servers_hit(std::size_t trouble) const {
+    return impl_->servers_hit(trouble);
+}
 bool World::step() { return impl_->step(); }
 void World::watch(Watcher* watcher) { impl_->watch(watcher); }
 std::uint64_t World::now_us() const { return impl_->now_us(); }
--- a/lab/fleet/world.h
+++ b/lab/fleet/world.h
@@ -44,6 +44,8 @@
 
     // What its trace begins with; known before the first step.
     Terms terms() const;
+    // The servers that a trouble of the timetable hits; known before the first step.
+    const std::vector<std::uint32_t>& servers_hit(std::size_t trouble) const;
     // The next thing that happens; false when the world is over.
     bool step();
     // Borrowed; null: nobody.
--- a/lab/report/report.cpp
+++ b/lab/report/report.cpp
@@ -132,6 +132,55 @@
 .yes{color:#2c6e36}.no{color:#b3261e;font-weight:600}pre{background:#f6f6f6;padding:.8rem;overflow:auto;font-size:12px}
 .wide{overflow:auto}</style>)";
 
+// What the emulator foretold of the same part, beside what the sockets showed.
+std::string real_part(const std::vector<json>& real) {
+    std::string page;
+    for (const json& played : real) {
+        page += "<h2>For real: " + escaped(shown(played["variant"])) + "</h2><p>" +
+                escaped(played["scale"].get<std::string>()) +
+                ". Each cell: foretold by the emulator, shown by the "
+                "sockets.</p><table><tr><th></th><th>calls</th>"
+                "<th>served</th><th>refused</th><th>p50 ms</th><th>p99 ms</th><th>parts</th></tr>";
+        for (const json& line : played["lines"]) {
+            page += "<tr><td>" + escaped(line["of"].get<std::string>()) + "</td><td>" +
+                    std::to_string(line["calls"].get<std::uint64_t>()) + "</td>";
+            for (const char* const what : {"served", "refused", "p50_ms", "p99_ms"}) {
+                const bool percent = what[0] != 'p';
+                page += "<td>" + text_of(line["foretold"][what].get<double>(), percent) + ", " +
+                        text_of(line["shown"][what].get<double>(), percent) + "</td>";
+            }
+            std::string parts;
+            for (const json& each : line["parts"])
+                parts += (parts.empty() ? "" : ", ") + each.get<std::string>();
+            page += "<td class=\"" + std::string(parts.empty() ? "yes\">no" : "no\">" + escaped(parts)) +
+                    "</td></tr>";
+        }
+        page += "</table>\n";
+        std::vector<Band> bands;
+        for (const json& each : played["shown"]["troubles"]) {
+            const double from = each["at_us"].get<double>() / 1e6;
+            bands.push_back({each["name"], from, from + each["lasts_us"].get<double>() / 1e6});
+        }
+        std::vector<Line> lines;
+        for (const char* const side : {"foretold", "shown"}) {
+            Group one;
+            one.name = side;
+            one.cells.push_back(&played[side]);
+            lines.push_back(line_of(side, one, [](const json& cell) -> const json& {
+                return cell["figures"]["seconds"]["service"];
+            }));
+        }
+        page += line_chart("Service, foretold and shown", lines, bands, 1, true);
+        std::string wrong;
+        for (const json& each : played["shown"]["broken"])
+            wrong += "<li>" + escaped(each["what"].get<std::string>()) + "</li>";
+        for (const json& each : played["faults"])
+            wrong += "<li>" + escaped(each.get<std::string>()) + "</li>";
+        if (!wrong.empty()) page += "<ul class=\"no\">" + wrong + "</ul>\n";
+    }
+    return page;
+}
+
 }  // namespace
 
 std::string csv_of(const std::vector<json>& cells) {
@@ -182,7 +231,7 @@
 }
 
 std::string html_of(const std::string& name, const std::string& question, const std::string& plan_text,
-                    const std::vector<json>& cells) {
+                    const std::vector<json>& cells, const std::vector<json>& real) {
     const auto groups = groups_of(cells);
     std::string page =
         "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>" + escaped(name) +
@@ -301,6 +350,7 @@
         for (const json& row : figures["load"]) rows.push_back(numbers(row));
         page += heat_map("Requests in hand by server, first seed", rows, bands);
     }
+    page += real_part(real);
     return page + "<h2>The experiment</h2><pre>" + escaped(plan_text) + "</pre></body></html>\n";
 }
 
--- a/lab/report/report.h
+++ b/lab/report/report.h
@@ -12,9 +12,10 @@
 
 namespace flaxdoor::lab {
 
-// `plan_text` stands in the page as it was.
+// `plan_text` stands in the page as it was. `real`: what real mode showed beside what was foretold
+// (real/compare.h), a part for each variant that was played.
 std::string html_of(const std::string& name, const std::string& question, const std::string& plan_text,
-                    const std::vector<nlohmann::json>& cells);
+                    const std::vector<nlohmann::json>& cells, const std::vector<nlohmann::json>& real = {});
 
 // A line for each cell: variant, seed, service, shares, percentiles, falls, broken rules, expectations met.
 std::string csv_of(const std::vector<nlohmann::json>& cells);
--- a/lab/run/runner.cpp
+++ b/lab/run/runner.cpp
@@ -54,6 +54,59 @@
     std::vector<Record> early_;
 };
 
+// Whoever looks on at one world, and what they made of it.
+class Lookers {
+public:
+    Lookers(const Experiment& experiment, const Terms& terms, const std::string& trace_file)
+        : experiment_(experiment),
+          trace_file_(trace_file),
+          judge_(terms),
+          counter_(terms, static_cast<std::uint64_t>(experiment.settles.count())) {
+        cell_.variant = experiment.variant;
+        cell_.seed = experiment.seed;
+        cell_.terms = terms;
+        sinks.add(judge_);
+        sinks.add(counter_);
+        if (trace_file.empty()) {
+            sinks.add(digest_);
+        } else {
+            file_.open(trace_file, std::ios::binary | std::ios::trunc);
+            writer_.emplace(file_, terms);
+            sinks.add(*writer_);
+        }
+    }
+
+    Cell finish() {
+        if (writer_) {
+            const auto done = writer_->finish();
+            if (!done) throw std::runtime_error(trace_file_ + " could not be written");
+            cell_.digest = done->digest;
+            cell_.records = done->records;
+        } else {
+            cell_.digest = digest_.finish();
+            cell_.records = digest_.records();
+        }
+        cell_.findings = judge_.finish();
+        cell_.figures = counter_.finish();
+        cell_.met = meets(experiment_, cell_.terms, cell_.figures, cell_.findings);
+        cell_.real_seconds = seconds_since(from_);
+        return std::move(cell_);
+    }
+
+    Several sinks;
+
+private:
+    const Clock::time_point from_ = Clock::now();
+    const Experiment& experiment_;
+    const std::string trace_file_;
+    Cell cell_;
+    Judge judge_;
+    Counter counter_;
+    DigestSink digest_;
+    std::ofstream file_;
+    std::optional<TraceWriter> writer_;
+};
+
 }  // namespace
 
 bool Cell::all_met() const {
@@ -61,50 +114,27 @@
 }
 
 std::optional<Cell> play_cell(const Experiment& experiment, const std::string& trace_file,
-                              const std::atomic<bool>* stop) {
-    const auto from = Clock::now();
+                              const std::atomic<bool>* stop, Sink* also) {
     Gate gate;
     World world(experiment, gate);
-    Cell cell;
-    cell.variant = experiment.variant;
-    cell.seed = experiment.seed;
-    cell.terms = world.terms();
-    Judge judge(cell.terms);
-    Counter counter(cell.terms, static_cast<std::uint64_t>(experiment.settles.count()));
-    DigestSink digest;
-    Several sinks;
-    sinks.add(judge);
-    sinks.add(counter);
-    std::ofstream file;
-    std::optional<TraceWriter> writer;
-    if (trace_file.empty()) {
-        sinks.add(digest);
-    } else {
-        file.open(trace_file, std::ios::binary | std::ios::trunc);
-        writer.emplace(file, cell.terms);
-        sinks.add(*writer);
-    }
-    gate.open(sinks);
+    Lookers lookers(experiment, world.terms(), trace_file);
+    if (also) lookers.sinks.add(*also);
+    gate.open(lookers.sinks);
     for (std::uint32_t steps = 0; world.step(); ++steps) {
         if ((steps & 0xFFFU) == 0 && stop && stop->load(std::memory_order_relaxed)) return std::nullopt;
     }
-    if (writer) {
-        const auto done = writer->finish();
-        if (!done) throw std::runtime_error(trace_file + " could not be written");
-        cell.digest = done->digest;
-        cell.records = done->records;
-    } else {
-        cell.digest = digest.finish();
-        cell.records = digest.records();
-    }
+    Cell cell = lookers.finish();
     cell.happenings = world.figures().happenings;
-    cell.findings = judge.finish();
-    cell.figures = counter.finish();
-    cell.met = meets(experiment, cell.terms, cell.figures, cell.findings);
-    cell.real_seconds = seconds_since(from);
     return cell;
 }
 
+Cell cell_of(const Experiment& experiment, const Terms& terms, const std::vector<Record>& records,
+             const std::string& trace_file) {
+    Lookers lookers(experiment, terms, trace_file);
+    for (const Record& record : records) lookers.sinks.put(record);
+    return lookers.finish();
+}
+
 json to_json(const Cell& cell) {
     json broken = json::array();
     for (const Broken& each : cell.findings.broken()) {
--- a/lab/run/runner.h
+++ b/lab/run/runner.h
@@ -25,6 +25,7 @@
 #include "run/expect.h"
 #include "run/figures.h"
 #include "trace/file.h"
+#include "trace/record.h"
 
 namespace flaxdoor::lab {
 
@@ -43,9 +44,14 @@
     bool all_met() const;
 };
 
-// One world, judged and counted; its trace goes to `trace_file` too, where there is one. Nothing: stopped.
+// One world, judged and counted; its trace goes to `trace_file` too, where there is one, and its records to
+// `also`. Nothing: stopped.
 std::optional<Cell> play_cell(const Experiment& experiment, const std::string& trace_file = "",
-                              const std::atomic<bool>* stop = nullptr);
+                              const std::atomic<bool>* stop = nullptr, Sink* also = nullptr);
+
+// Records that something else than a world wrote, judged and counted in the same way.
+Cell cell_of(const Experiment& experiment, const Terms& terms, const std::vector<Record>& records,
+             const std::string& trace_file = "");
 
 nlohmann::json to_json(const Cell& cell);
 
--- a/standins/booking_node.cpp
+++ b/standins/booking_node.cpp
@@ -776,6 +776,7 @@
             us = std::exponential_distribution<double>(1 / us)(chance);
         if (us > 0 && work.shape == Work::Shape::uniform)
             us *= std::uniform_real_distribution<double>(0.5, 1.5)(chance);
+        if (settings.work_for) us = static_cast<double>(settings.work_for(r.call_id).count());
         if (r.first_on_connection) us += static_cast<double>(settings.first_on_connection.count());
         return std::chrono::nanoseconds(static_cast<std::int64_t>(us * 1000 / share(at)));
     }
--- a/standins/booking_node.h
+++ b/standins/booking_node.h
@@ -90,6 +90,8 @@
         std::size_t queue_most = 256;  // beyond: 503 with X-Rejected
         Work work;                     // of classes that are not named below
         std::map<std::string, Work, std::less<>> work_by_class;
+        // Where set: a request's work, before what a first request on a connection and a cold node add.
+        std::function<std::chrono::microseconds(std::string_view call_id)> work_for;
         std::chrono::microseconds first_on_connection{0};  // more work for the first request on a connection
         // Once started, or back: work takes 1/share as long, the share growing evenly from cold_share to 1.
         double cold_share = 1.0;
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -44,7 +44,7 @@
         report) echo "run trace" ;;
         hunt) echo "experiment random run settings" ;;
         explore) echo "experiment fleet judge trace" ;;
-        real) echo "experiment run standins trace" ;;
+        real) echo "experiment fleet run standins trace" ;;
         apps) echo "experiment explore fleet hunt judge real report run settings trace" ;;
         *) echo "unknown" ;;
     esac
