--- a/lab/experiment/plan.cpp
+++ b/lab/experiment/plan.cpp
@@ -161,7 +161,9 @@
     const auto against = [&](const char* table, const char* key, const std::string& what,
                              const std::string& how) {
         return Objection{"real = true: " + what, how + ", " + mend,
-                         place_of(values.rows(table).front(), key)};
+                         values.given(table)
+                             ? place_of(values.parts()[values.schema().index_of(table)].rows.front(), key)
+                             : Position{}};
     };
     if (values.get(keys::experiment::grid) > Micros{0})
         return against("experiment", "grid", "the clock of a machine has no grid", "leave grid out");
--- a/lab/real/daemon.cpp
+++ b/lab/real/daemon.cpp
@@ -168,7 +168,11 @@
 }
 Daemon::~Daemon() { impl_->shut(); }
 void Daemon::tell_to_end() { impl_->signal(SIGTERM); }
-void Daemon::kill() { impl_->signal(SIGKILL); }
+void Daemon::kill() {
+    if (impl_->over) return;
+    impl_->signal(SIGKILL);
+    impl_->reap();
+}
 bool Daemon::ended() const { return impl_->over; }
 pid_t Daemon::process() const { return impl_->pid; }
 std::string Daemon::log() const {
--- a/lab/real/daemon.h
+++ b/lab/real/daemon.h
@@ -33,7 +33,7 @@
     Daemon& operator=(const Daemon&) = delete;
 
     void tell_to_end();  // SIGTERM
-    void kill();         // SIGKILL
+    void kill();         // SIGKILL, and waits for its end; on_end is not told
     [[nodiscard]] bool ended() const;
     [[nodiscard]] pid_t process() const;
     [[nodiscard]] std::string log() const;  // its last lines
--- a/lab/real/links.cpp
+++ b/lab/real/links.cpp
@@ -97,10 +97,12 @@
 void Links::write(const LinkPtr& link) {
     link->out.clear();
     standins::append_call(link->out, link->text);
-    asio::async_write(link->socket, asio::buffer(link->out), [this, link](Error error, std::size_t) {
-        // A failed write is told by the read: an answer may have come before the end.
-        if (!error && !link->closed && link->call != 0) callers_->taken(link->call, now());
-    });
+    // Its time is that before the write: what follows from it is seen later.
+    asio::async_write(link->socket, asio::buffer(link->out),
+                      [this, link, call = link->call, at = now()](Error error, std::size_t) {
+                          // A failed write is told by the read: an answer may have come before the end.
+                          if (!error && !link->closed && link->call == call) callers_->taken(call, at);
+                      });
 }
 
 void Links::read(const LinkPtr& link) {
@@ -114,6 +116,24 @@
     });
 }
 
+void Links::read_out(std::uint32_t balancer) {
+    std::vector<LinkPtr> all;
+    for (const auto& [key, link] : links_) {
+        if (link->balancer == balancer) all.push_back(link);
+    }
+    for (const LinkPtr& link : all) {
+        Error error;
+        link->socket.non_blocking(true, error);
+        std::array<char, 4096> piece{};
+        while (!link->closed && !error) {
+            const std::size_t got = link->socket.read_some(asio::buffer(piece), error);
+            if (error) break;
+            link->reader.feed({piece.data(), got});
+            came(link, false);
+        }
+    }
+}
+
 void Links::came(const LinkPtr& link, bool over) {
     standins::Answer answer;
     standins::Reading reading{};
--- a/lab/real/links.h
+++ b/lab/real/links.h
@@ -29,10 +29,13 @@
     void tell(Callers& callers) { callers_ = &callers; }  // borrowed; before the first send
     // Where a balancer listens now; nothing: it was killed, and its connections' ends are no fault of its own.
     void set(std::uint32_t balancer, std::optional<boost::asio::ip::tcp::endpoint> address);
+    // What a process that has ended had written is read now, so that it stands before its end.
+    void read_out(std::uint32_t balancer);
 
     void send(std::uint32_t balancer, std::uint64_t call, const standins::Call& text) override;
     void leave(std::uint64_t call) override;
     void close_all();
+    [[nodiscard]] std::size_t open() const { return links_.size(); }
 
 private:
     struct Link;
--- a/lab/real/play.cpp
+++ b/lab/real/play.cpp
@@ -209,6 +209,7 @@
         }
         if (!its.listening) return;  // killed, or it never came up
         its.listening = false;
+        links_.read_out(b);
         recorder_.note(now(), Event::ended, b);
         if (!its.to_end || status != 0) complain(b, status);
         if (!its.to_end) {
@@ -234,8 +235,9 @@
         Balancer& its = balancers_[b];
         if (!its.process || its.process->ended()) return;
         its.listening = false;
-        links_.set(b, std::nullopt);
         its.process->kill();
+        links_.read_out(b);
+        links_.set(b, std::nullopt);
         recorder_.note(now(), Event::killed, b);
         later(its, part_.fleet.front_notices, [this, b] {
             if (!balancers_[b].listening) callers_.front_forgets(b);
--- a/lab/real/recorder.h
+++ b/lab/real/recorder.h
@@ -18,7 +18,11 @@
 public:
     using Time = std::chrono::steady_clock::time_point;
 
-    void begin(Time at) { begin_ = at; }
+    // What was noted before stands at 0.
+    void begin(Time at) {
+        begin_ = at;
+        for (Record& record : records_) record.at = 0;
+    }
     std::uint64_t since_begin(Time at) const {
         return at <= begin_ ? 0
                             : static_cast<std::uint64_t>(
