The door: fair queues ahead of the core, and when to come back

Need: one centre's tablets can crowd out everybody else; a refusal knows nothing of clients, nor of how many were told the same. Change: src/door, without I/O, clock or chance of its own: SFQ(D) by tenant and, over hashed flows, by client; Space-Saving; the window by what the module has not sent; limits with a reason each; a book of slots; keyed tokens. Tests with an oracle of their own. Nothing uses it yet.

--- /dev/null
+++ b/src/door/flows.cpp
@@ -0,0 +1,42 @@
+#include "door/flows.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace flaxdoor::door {
+
+Flows::Flows(Time now, std::uint64_t key) : key_(key), perturb_at_(now + perturb_every) {}
+
+std::size_t Flows::place(Time now, std::uint64_t client, double cost, std::uint64_t drawn) {
+    if (now >= perturb_at_) {
+        key_ = drawn;
+        perturb_at_ = now + perturb_every;
+        hitters_.halve();
+    }
+    const std::size_t counter = hitters_.add(client, cost);
+    if (hitters_.heavy(counter)) return hashed + counter;
+    return XXH3_64bits_withSeed(&client, sizeof client, key_) % hashed;
+}
+
+void Flows::push(std::size_t flow, const Waiting& waiting, std::optional<double> no_earlier) {
+    queues_[flow].insert(waiting);
+    scheduler_.wake(flow, no_earlier);
+}
+
+void Flows::remove(std::size_t flow, const Waiting& waiting) {
+    queues_[flow].erase(waiting);
+    if (queues_[flow].empty()) scheduler_.rest(flow);
+}
+
+std::optional<std::pair<std::size_t, Flows::Waiting>> Flows::next() const {
+    const auto flow = scheduler_.next();
+    if (!flow) return std::nullopt;
+    return std::pair(*flow, *queues_[*flow].begin());
+}
+
+std::size_t Flows::bytes() {
+    // Of a scheduler's party: five numbers and a flag.
+    return sizeof(Flows) + count * (sizeof(std::set<Waiting>) + 6 * sizeof(double));
+}
+
+}  // namespace flaxdoor::door
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -8,6 +8,7 @@
     case $1 in
         policy) echo "" ;;
         core) echo "" ;;
+        door) echo "" ;;
         loop) echo "core" ;;
         http) echo "core loop" ;;
         text) echo "" ;;
@@ -66,7 +67,7 @@
         done
         # Machines, decisions and worlds know no sockets and no clock.
         case $name in
-            core | policy | recovery | routes | gateway | random | trace | judge | fleet | explore)
+            core | policy | door | recovery | routes | gateway | random | trace | judge | fleet | explore)
                 if grep -rnE '#include <(boost/asio|sys/socket|unistd)|_clock::now' "$folder"; then bad=1; fi ;;
         esac
     done
