--- a/lab/apps/flaxdoor_lab.cpp
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -105,7 +105,8 @@
     std::vector<std::uint64_t> seeds;
 };
 
-// The first seed of each variant, one after another; what came of them goes to real.jsonl.
+// Each variant with the first seed, or with those that were asked for, one after another; what came of them goes
+// to real.jsonl.
 int play_real(const Plan& plan, const RealWords& words) {
     if (!fs::exists(words.balancer)) {
         throw std::runtime_error(words.balancer +
@@ -118,24 +119,23 @@
         if (!lines) throw std::runtime_error(words.out + ": real.jsonl can't be written");
     }
     bool held = true;
-    for (std::size_t v = 0; v < plan.variants.size(); ++v) {
-        const Experiment whole = plan.cell(v * plan.seeds.size());
+    const std::size_t seeds = words.seeds.empty() ? 1 : plan.seeds.size(), all = plan.variants.size() * seeds;
+    for (std::size_t n = 0; n < all; ++n) {
+        const Experiment whole = plan.cell(n / seeds * plan.seeds.size() + n % seeds);
         real::PlayOptions options;
         options.program = words.balancer;
         options.stop = &stop;
         if (words.traces && !words.out.empty())
-            options.trace_file = (fs::path(words.out) / ("real" + std::to_string(v) + ".trace")).string();
+            options.trace_file = (fs::path(words.out) / ("real" + std::to_string(n) + ".trace")).string();
         if (!words.quiet) {
             options.progress = [&](double seconds, double of) {
-                std::fprintf(stderr, "\rreal %zu of %zu: %.0f of %.0f s ", v + 1, plan.variants.size(),
-                             seconds, of);
+                std::fprintf(stderr, "\rreal %zu of %zu: %.0f of %.0f s ", n + 1, all, seconds, of);
             };
         }
         const auto played = real::play(whole, options);
         if (!words.quiet) std::fputc('\n', stderr);
         if (!played) {
-            std::cout << "stopped: " << v << " of " << plan.variants.size()
-                      << " variants were played for real\n";
+            std::cout << "stopped: " << n << " of " << all << " were played for real\n";
             return stopped_early;
         }
         const auto line = real::to_json(whole, *played);
@@ -356,7 +356,7 @@
     real_command->add_option("FILE", real_words.file)->required();
     real_command->add_option("-o,--out", real_words.out, "keep results in this folder");
     real_command->add_option("--balancer", real_words.balancer, "the daemon's program");
-    real_command->add_option("--seed", real_words.seeds, "this seed in place of the file's first");
+    real_command->add_option("--seed", real_words.seeds, "these in place of the file's first");
     real_command->add_flag("--traces", real_words.traces, "keep a trace of each, for `judge` and `story`");
     real_command->add_flag("-q,--quiet", real_words.quiet, "no progress");
     real_command->callback([&] { todo = [&] { return real_file(real_words); }; });
--- a/lab/real/compare.cpp
+++ b/lab/real/compare.cpp
@@ -121,6 +121,11 @@
     for (const char* const side : {"foretold", "shown"}) {
         for (const json& each : played[side]["broken"])
             text += "  " + std::string(side) + ": " + each["what"].get<std::string>() + "\n";
+        for (const json& each : played[side]["met"]) {
+            if (each["met"] == true) continue;
+            text += "  not met (" + std::string(side) + "): " + each["expectation"].get<std::string>() +
+                    "; found " + each["found"].get<std::string>() + "\n";
+        }
     }
     for (const json& each : played["faults"]) text += "  " + each.get<std::string>() + "\n";
     return text;
@@ -130,6 +135,9 @@
     if (!played["faults"].empty() || played["foretold"]["rules_broken"] != 0 ||
         played["shown"]["rules_broken"] != 0)
         return false;
+    const json& met = played["shown"]["met"];
+    if (!std::all_of(met.begin(), met.end(), [](const json& each) { return each["met"] == true; }))
+        return false;
     return std::all_of(played["lines"].begin(), played["lines"].end(),
                        [](const json& line) { return line["parts"].empty(); });
 }
--- a/lab/real/compare.h
+++ b/lab/real/compare.h
@@ -29,7 +29,7 @@
 nlohmann::json to_json(const Experiment& experiment, const Played& played);
 // The same for a terminal, from what to_json gave.
 std::string table_of(const nlohmann::json& played);
-// No rule was broken on either side, nothing else was wrong, and nothing parts.
+// No rule was broken on either side, nothing else was wrong, what is expected was met for real, and nothing parts.
 bool holds(const nlohmann::json& played);
 
 }  // namespace flaxdoor::lab::real
--- a/tests/lab/real_test.cpp
+++ b/tests/lab/real_test.cpp
@@ -3,12 +3,14 @@
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <cmath>
 #include <cstring>
 #include <nlohmann/json.hpp>
 
 #include "experiment/plan.h"
+#include "fleet/parts.h"
 #include "judge/judge.h"
 #include "real/callers.h"
 #include "real/compare.h"
@@ -84,6 +86,33 @@
     EXPECT_EQ(all.lasts, patient().lasts);
 }
 
+// ----------------------------------------------------------------------------------------------- histogram
+
+class Histogram : public testing::TestWithParam<Draw> {};
+
+// Never under the latency of that rank, and at most 1/128 over it.
+TEST_P(Histogram, StandsWithinItsErrorOfTheExactRank) {
+    Stream stream(11, Whose::call, 1);
+    standins::Latencies histogram;
+    std::vector<std::int64_t> exact;
+    for (int i = 0; i < 20'000; ++i) {
+        const Micros took = drawn(GetParam(), stream);
+        exact.push_back(took.count());
+        histogram.add(took);
+    }
+    std::sort(exact.begin(), exact.end());
+    for (const double q : {0.001, 0.1, 0.5, 0.9, 0.99, 0.999, 1.0}) {
+        const auto rank = static_cast<std::size_t>(std::ceil(q * static_cast<double>(exact.size()))) - 1;
+        const auto shown = histogram.quantile(q).count();
+        EXPECT_GE(shown, exact[rank]) << q;
+        EXPECT_LE(shown, exact[rank] + exact[rank] / 128) << q;
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Real, Histogram,
+                         testing::Values(Draw{Law::exponential, milliseconds(20), 1},
+                                         Draw{Law::lognormal, milliseconds(5), 1.5},
+                                         Draw{Law::pareto, seconds(1), 1.2}));
+
 // ----------------------------------------------------------------------------------------------- open loop
 
 struct Held final : Wires {
