Lab: a node's listener does not live on in a balancer's process

The nodes' listeners were inherited by the daemon, so a dead node's port still took connections, which hung. A test holds it (fails without the line).

--- a/lab/real/daemon.cpp
+++ b/lab/real/daemon.cpp
@@ -1,11 +1,13 @@
 #include "real/daemon.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <cerrno>
 #include <csignal>
@@ -60,6 +62,7 @@
         environment.push_back(nullptr);
         char* const arguments[] = {words.program.data(), nullptr};
         const pid_t parent = ::getpid();
+        const auto descriptors = static_cast<int>(std::min(::sysconf(_SC_OPEN_MAX), 1L << 20U));
         const int nothing = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
         pid = ::fork();
         if (pid == 0) {  // from here on only what may be called between fork and exec
@@ -69,6 +72,11 @@
             ::dup2(nothing, STDIN_FILENO);
             ::dup2(ends[1], STDERR_FILENO);
             ::dup2(ends[1], STDOUT_FILENO);
+            // None of the stand-ins' sockets may live on in it: a dead node's port would still take connections.
+            if (::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC) != 0) {
+                for (int each = STDERR_FILENO + 1; each < descriptors; ++each)
+                    ::fcntl(each, F_SETFD, FD_CLOEXEC);
+            }
             ::execve(arguments[0], arguments, environment.data());
             const int error = errno;
             (void)!::write(told[1], &error, sizeof error);
--- a/tests/lab/real_test.cpp
+++ b/tests/lab/real_test.cpp
@@ -14,6 +14,7 @@
 #include "judge/judge.h"
 #include "real/callers.h"
 #include "real/compare.h"
+#include "real/daemon.h"
 #include "real/links.h"
 #include "real/play.h"
 #include "real/scale.h"
@@ -274,6 +275,29 @@
     EXPECT_EQ(::waitpid(-1, nullptr, WNOHANG), -1);  // no child of any kind
 }
 
+// A listener that lived on in a balancer's process would take connections for a node that died: they would hang.
+TEST(Sockets, NothingOfTheNodesLivesOnInABalancer) {
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+    asio::io_context loop{1};
+    tcp::acceptor holder(loop, tcp::v4()), listener(loop, tcp::v4());
+    for (tcp::acceptor* const each : {&holder, &listener})
+        each->set_option(tcp::acceptor::reuse_address(true));
+    holder.bind({asio::ip::address_v4::loopback(), 0});
+    const auto address = holder.local_endpoint();
+    listener.bind(address);
+    listener.listen();
+    Daemon::Words words;
+    words.program = "/usr/bin/yes";  // it goes on until it is ended
+    const Daemon process(loop, std::move(words));
+    listener.close();
+    boost::system::error_code error;
+    tcp::socket client(loop);
+    client.connect(address, error);
+    EXPECT_EQ(error, asio::error::connection_refused);
+    EXPECT_FALSE(process.ended());
+}
+
 // A balancer that answers twice, or lets its client's connection go: the judge finds it from the clients' records.
 struct Wrong {
     const char* name;
