Log: events with fields, as text, JSON or logfmt, never waited for

Need: a line was a text put together where it was told, without a name, a level or fields; an operator could neither filter nor collect it, nothing held a flood, and while nobody read all that came was lost.

Change: the core's port takes an event and its values (src/core/event.h: a constant with name, level, fields and the line that people read; consteval holds words and fields together). src/log has the table of 49 events, three formats, rates by event, a queue bounded in bytes and lines of which one event may have a quarter, and a descriptor that is asked, never waited for; no thread. It replaces src/loop/line_log.h. The operator's file has [log] (format, level, level by event, rate, queue), all by SIGHUP; without it every line is as it was to the letter. The library's sink gets the same words; there [log] is refused. docs/operators/log.md lists each event with level, fields and what to do, held against the table by a test.

--- a/bench/core_bench.cpp
+++ b/bench/core_bench.cpp
@@ -148,7 +148,7 @@
 public:
     Time now() const override { return now_; }
     void set(Time at) override { alarm_ = at; }
-    void line(std::string_view) override { ++lines_; }
+    void event(const core::Event&, std::span<const core::Value>) override { ++lines_; }
 
     void pass(Micros span, core::Core& core) {
         now_ += span;
--- a/lab/fleet/balancers.cpp
+++ b/lab/fleet/balancers.cpp
@@ -108,7 +108,7 @@
         alarm_ = ++owner_.alarms_;
         parts_.scheduler.set(at, What::alarm, number_, alarm_);
     }
-    void line(std::string_view) override {}
+    void event(const core::Event&, std::span<const core::Value>) override {}
 
     void on_alarm(std::uint64_t which) {
         if (which == alarm_) core_.on_alarm();
--- a/src/apps/balancer.cpp
+++ b/src/apps/balancer.cpp
@@ -17,7 +17,9 @@
 #include <sstream>
 #include <string>
 
-#include "loop/line_log.h"
+#include "log/events.h"
+#include "log/logger.h"
+#include "loop/clock.h"
 #include "settings/product.h"
 #include "settings/reader.h"
 #include "sides/gateway.h"
@@ -27,7 +29,8 @@
 
 using flaxdoor::Balancer;
 using flaxdoor::BalancerOptions;
-using flaxdoor::loop::LineLog;
+using flaxdoor::log::Logger;
+namespace events = flaxdoor::log::events;
 
 std::string text_of(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
@@ -39,7 +42,7 @@
     return text.str();
 }
 
-BalancerOptions configuration(LineLog& log) {
+BalancerOptions configuration() {
     const char* const path = std::getenv("NODE_CONFIG");
     if (!path) throw std::runtime_error("NODE_CONFIG is not set");
     try {
@@ -48,7 +51,6 @@
         if (::getrlimit(RLIMIT_NOFILE, &told) == 0) {
             options.descriptors = std::min<std::size_t>(options.descriptors, told.rlim_cur);
         }
-        options.log = [&log](std::string_view, std::string_view line) { log.line(line); };
         options.figures_every = {};
         return options;
     } catch (const std::exception& error) {
@@ -60,23 +62,31 @@
 // own.
 class Operators {
 public:
-    Operators(std::string path, LineLog& log) : path_(std::move(path)), log_(log) {
-        if (!read()) throw std::runtime_error("operator's file " + path_ + " can't be used");
+    Operators(std::string path, Logger& log) : path_(std::move(path)), log_(log) {
+        if (!read(true)) throw std::runtime_error("operator's file " + path_ + " can't be used");
     }
 
     void reload() {
-        if (!read()) log_.line("the old operator's file stays");
+        if (!read(false)) log_.tell(events::operators_kept);
     }
 
     const std::string& text() const { return text_; }
 
 private:
-    bool read() {
+    bool read(bool start) {
         if (path_.empty()) return true;
-        const auto reading = flaxdoor::settings::read_file(path_, flaxdoor::settings::product_schema());
+        auto reading = flaxdoor::settings::read_file(path_, flaxdoor::settings::product_schema());
+        if (const auto* values = std::get_if<flaxdoor::settings::Values>(&reading)) {
+            auto options = flaxdoor::log::options_from(*values);
+            if (auto* const faults = std::get_if<flaxdoor::settings::Faults>(&options)) {
+                reading = std::move(*faults);
+            } else if (start) {  // what a reload brings counts once the engine has taken it
+                log_.set(std::get<flaxdoor::log::Options>(std::move(options)));
+            }
+        }
         if (const auto* faults = std::get_if<flaxdoor::settings::Faults>(&reading)) {
             std::istringstream lines(faults->text(path_));
-            for (std::string line; std::getline(lines, line);) log_.line(line);
+            for (std::string line; std::getline(lines, line);) log_.tell(events::operators_fault, line);
             return false;
         }
         text_ = text_of(path_);
@@ -84,7 +94,7 @@
     }
 
     const std::string path_;
-    LineLog& log_;
+    Logger& log_;
     std::string text_;
 };
 
@@ -95,8 +105,12 @@
 // the other the last one counts.
 class Signals {
 public:
-    Signals(boost::asio::io_context& loop, LineLog& log)
-        : loop_(loop), log_(log), signals_(loop, SIGTERM, SIGINT, SIGHUP), reload_(loop) {}
+    Signals(boost::asio::io_context& loop, Logger& log, std::shared_ptr<const flaxdoor::detail::Sides> sides)
+        : loop_(loop),
+          log_(log),
+          sides_(std::move(sides)),
+          signals_(loop, SIGTERM, SIGINT, SIGHUP),
+          reload_(loop) {}
 
     void pass_to(Balancer& balancer, Operators& operators) {
         signals_.async_wait(
@@ -129,44 +143,81 @@
     void reload(Balancer& balancer, Operators& operators) {
         operators.reload();
         try {
-            BalancerOptions options = configuration(log_);
+            BalancerOptions options = configuration();
             options.operators = operators.text();
+            options.sides = sides_;
             balancer.reconfigure(options);
         } catch (const std::exception& error) {
-            log_.line(std::string("the old configuration stays: ") + error.what());
+            log_.tell(events::configuration_kept, error.what());
         }
     }
 
     boost::asio::io_context& loop_;
-    LineLog& log_;
+    Logger& log_;
+    const std::shared_ptr<const flaxdoor::detail::Sides> sides_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer reload_;
     std::chrono::steady_clock::time_point reloaded_{};  // the last time
     bool reload_due_ = false;
 };
 
+// Lines that wait for their reader go out though no further one comes. Nothing is due while none waits.
+class Retry {
+public:
+    Retry(boost::asio::io_context& loop, Logger& log) : log_(log), timer_(loop) {
+        log_.on_waiting([this] { later(); });
+        if (log_.waiting()) later();
+    }
+    ~Retry() { log_.on_waiting({}); }
+
+private:
+    static constexpr auto again = std::chrono::milliseconds(250);
+
+    void later() {
+        timer_.expires_after(again);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (error) return;
+            log_.retry();
+            if (log_.waiting()) later();
+        });
+    }
+
+    Logger& log_;
+    boost::asio::steady_timer timer_;
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
-    LineLog log(STDERR_FILENO);
+    const flaxdoor::loop::Clock clock;
+    flaxdoor::log::Descriptor standard_error(STDERR_FILENO);
+    Logger log(standard_error, clock);
     CLI::App app("One balancer. Its platform's configuration is in the file that NODE_CONFIG names.");
     std::string operators_path;
     app.add_option("--operator", operators_path, "the operator's own file (TOML); see `flaxdoor check`");
     CLI11_PARSE(app, argc, argv);
     try {
         boost::asio::io_context loop(1);
-        Signals signals(loop, log);  // kept for when the balancer is there to take them
+        const auto sides = std::make_shared<const flaxdoor::detail::Sides>(
+            flaxdoor::detail::Sides{{flaxdoor::sides::postgres(), flaxdoor::sides::gateway()},
+                                    &log,
+                                    [&log](const flaxdoor::settings::Values& operators) {
+                                        auto taken = flaxdoor::log::options_from(operators);
+                                        if (auto* const options = std::get_if<flaxdoor::log::Options>(&taken))
+                                            log.set(std::move(*options));
+                                    }});
+        Signals signals(loop, log, sides);  // kept for when the balancer is there to take them
+        const Retry retry(loop, log);
         Operators operators(operators_path, log);
-        BalancerOptions options = configuration(log);
+        BalancerOptions options = configuration();
         options.operators = operators.text();
-        options.sides = std::make_shared<const flaxdoor::detail::Sides>(
-            flaxdoor::detail::Sides{{flaxdoor::sides::postgres(), flaxdoor::sides::gateway()}});
+        options.sides = sides;
         Balancer balancer(loop.get_executor(), options);
         signals.pass_to(balancer, operators);
         loop.run();
     } catch (const std::exception& error) {
-        log.line(std::string("flaxdoor: ") + error.what());
+        log.tell(events::not_started, error.what());
         return 1;
     }
     return 0;
--- a/src/apps/flaxdoor.cpp
+++ b/src/apps/flaxdoor.cpp
@@ -17,6 +17,7 @@
 
 #include "apps/route_commands.h"
 #include "apps/store_commands.h"
+#include "log/logger.h"
 #include "settings/page.h"
 #include "settings/product.h"
 #include "settings/reader.h"
@@ -57,11 +58,12 @@
     const auto look = [&](const char* table, auto options_of) {
         const auto* const values = std::get_if<Values>(&reading);
         if (!values || !values->given(table)) return;
-        auto made = options_of(*values, 0);
+        auto made = options_of(*values);
         if (auto* const found = std::get_if<Faults>(&made)) reading = std::move(*found);
     };
-    look("postgres", flaxdoor::sides::postgres_options);
-    look("gateway", flaxdoor::sides::gateway_options);
+    look("log", flaxdoor::log::options_from);
+    look("postgres", [](const Values& values) { return flaxdoor::sides::postgres_options(values, 0); });
+    look("gateway", [](const Values& values) { return flaxdoor::sides::gateway_options(values, 0); });
     const Faults* const faults = std::get_if<Faults>(&reading);
     const std::size_t settings = faults ? 0 : std::get<Values>(reading).count_given();
     if (json) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -523,7 +523,7 @@
     void fault(std::string_view what) noexcept {
         ++figures_.faults;
         try {
-            log_.line("fault: " + std::string(what));
+            log_.tell(events::fault, what);
         } catch (...) {  // there is nobody left to tell
         }
     }
@@ -673,7 +673,7 @@
                 if (pool->source) pool->source->fetch();
                 return;
             case Action::Kind::close_idle: return pool->back.close_idle(action.upstream);
-            case Action::Kind::log: return log_.line(action.text);
+            case Action::Kind::log: return log_.tell(events::from_module, action.text);
         }
     }
 
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -7,9 +7,12 @@
 //              nothing.
 #pragma once
 
+#include <array>
+#include <span>
 #include <string_view>
 
 #include "core/call.h"
+#include "core/event.h"
 
 namespace flaxdoor::core {
 
@@ -30,7 +33,14 @@
 class Log {
 public:
     virtual ~Log() = default;
-    virtual void line(std::string_view text) = 0;
+    // As many values as the event has fields; what they borrow is there for the call.
+    virtual void event(const Event& event, std::span<const Value> values) = 0;
+
+    template <std::size_t N, class... Values>
+    requires(sizeof...(Values) == N) void tell(const EventOf<N>& kind, const Values&... values) {
+        const std::array<Value, N> all{Value(values)...};
+        event(kind, all);
+    }
 };
 
 // Whoever hands in calls. `token` is what it gave with the call; nothing comes for a call that it has left.
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -8,6 +8,7 @@
 #include "http/back.h"
 #include "http/front.h"
 #include "http/platform_handler.h"
+#include "log/events.h"
 #include "loop/alarm.h"
 #include "loop/alive.h"
 #include "membership/roster.h"
@@ -104,6 +105,7 @@
           operators_(std::move(options.operators)),
           open_calls_(options.open_calls),
           keep_taking_(options.keep_taking),
+          on_operators_(std::move(options.on_operators)),
           sockets_(sockets_of(config_)),
           for_clients_(options.listens ? part(sockets_, operators_.get(settings::http::client_share)) : 0),
           alarm_(executor, clock_),
@@ -140,7 +142,7 @@
         if (roster_ && !config_.settings.must_ask_list) roster_->watch();
         if (!front_) return;
         front_->listen(config_.listen);
-        log_.line("listening on " + loop::text_of(front_->address()));
+        log_.tell(log::events::listening, loop::text_of(front_->address()));
     }
 
     ~Impl() {
@@ -163,10 +165,10 @@
             config_.settings = config.settings;
             config_.report_fields = config.report_fields;
             back_.set_options(back_options());
-            log_.line("settings taken");
+            log_.tell(log::events::settings_taken);
         }
-        if (!roster_) return log_.line("configuration taken");
-        log_.line("configuration taken, discovery at " + loop::text_of(config.discovery));
+        if (!roster_) return log_.tell(log::events::configuration_taken);
+        log_.tell(log::events::discovery_taken, loop::text_of(config.discovery));
         roster_->move_to(config.discovery);
         if (keeper_) keeper_->move_to(loop::text_of(config.discovery));
     }
@@ -175,14 +177,14 @@
         if (drained_) return true;
         auto change = settings::reload(operators_, wanted);
         if (const auto* faults = std::get_if<settings::Faults>(&change)) {
-            log_.line("the old operator's file stays: with what takes a restart it can't be used: " +
-                      faults->first().front().what);
+            log_.tell(log::events::operators_contradict, faults->first().front().what);
             return false;
         }
         auto& reload = std::get<settings::Reload>(change);
-        for (const auto& each : reload.taken) log_.line("operator's file: " + settings::line_of(each));
+        for (const auto& each : reload.taken)
+            log_.tell(log::events::operators_taken, settings::line_of(each));
         for (const auto& each : reload.held) {
-            log_.line("operator's file: takes a restart: " + settings::line_of(each));
+            log_.tell(log::events::operators_held, settings::line_of(each));
         }
         operators_ = std::move(reload.values);
         use_operators();
@@ -200,7 +202,7 @@
         if (draining_) return;
         draining_ = true;
         on_drained_ = std::move(drained);
-        log_.line("draining");
+        log_.tell(log::events::draining);
         Micros longest{};
         for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
         for (const auto& side : sides_) longest = std::max(longest, side->longest_deadline());
@@ -227,6 +229,7 @@
         core_.set_own_limit(core_options(operators_, open_calls_).own_limit);
         keep_accepting_ = operators_.get(settings::drain::keep_accepting);
         end_slack_ = operators_.get(settings::drain::end_slack);
+        if (on_operators_) on_operators_(operators_);
     }
 
     void begin_sides(const std::vector<SideMaker>& makers) {
@@ -257,7 +260,7 @@
         for (const auto& side : sides_) others = side->wind_down() || others;
         if (others && clock_.now() < drain_end_) return wind_down_after(drain_poll);
         drained_ = true;
-        log_.line("drained");
+        log_.tell(log::events::drained);
         if (roster_) roster_->stop();
         core_.close();
         // What was learned is asked for while the pool is there.
@@ -277,6 +280,7 @@
     settings::Values operators_;
     const std::size_t open_calls_;
     const Micros keep_taking_;
+    const std::function<void(const settings::Values&)> on_operators_;
     const std::size_t sockets_;  // for clients and upstreams
     const std::size_t for_clients_;
     Micros keep_accepting_{};
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -36,6 +36,8 @@
     store::Store::OpenFolder open_folder = store::open_folder;
     // Further fronts, each turned on by its table of the operator's file.
     std::vector<SideMaker> sides{};
+    // Told what counts of the operator's file, at the start and after each reload that is taken.
+    std::function<void(const settings::Values&)> on_operators{};
 };
 
 class Engine {
--- a/src/engine/keeper.cpp
+++ b/src/engine/keeper.cpp
@@ -5,6 +5,7 @@
 #include <future>
 #include <iterator>
 
+#include "log/events.h"
 #include "settings/tables/store.h"
 
 namespace flaxdoor::engine {
@@ -31,14 +32,6 @@
     return identity;
 }
 
-std::string seconds_of(Micros span) {
-    return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(span).count()) + " s";
-}
-
-std::string servers(std::size_t count) {
-    return std::to_string(count) + (count == 1 ? " server" : " servers");
-}
-
 }  // namespace
 
 // Of the first opening, on the store's thread; to be read once it is ready.
@@ -141,8 +134,7 @@
         return try_again(result);
     }
     if (opening.dropped > 0) {
-        log_.line("store: a write that was cut off is dropped: " + std::to_string(opening.dropped) +
-                  " bytes of " + opening.dropped_in + " from offset " + std::to_string(opening.dropped_at));
+        log_.tell(log::events::store_cut_off, opening.dropped, opening.dropped_in, opening.dropped_at);
     }
 }
 
@@ -151,7 +143,7 @@
         say("not used: " + load->result.why + "; its files stay as they are");
         return try_again(load->result);
     }
-    if (!said_.empty()) log_.line("store: in use again");
+    if (!said_.empty()) log_.tell(log::events::store_in_use);
     said_.clear();
     space_ = load->space;
     // It may have come too late for begin().
@@ -189,7 +181,7 @@
     } else {
         space_ = load->space;
         auto stored = recovery::decode(history_.pool, load->values);
-        for (const auto& fault : stored.faults) log_.line("store: not heeded: " + fault);
+        for (const auto& fault : stored.faults) log_.tell(log::events::store_not_heeded, fault);
         const bool any = stored.list.has_value();
         belief = recovery::believe(std::move(known), std::move(stored), history_, settings, now,
                                    options_.half_life);
@@ -204,18 +196,18 @@
 }
 
 void Keeper::tell(const recovery::Belief& belief, bool any) {
-    if (belief.clock_went_back) log_.line("store: the clock has gone back since it was written");
-    const std::string version = std::to_string(belief.list.version);
-    const std::string remembered = "; " + servers(belief.remembered) + " remembered";
+    if (belief.clock_went_back) log_.tell(log::events::store_clock_back);
+    const std::uint64_t version = belief.list.version;
     if (belief.stored) {
-        log_.line("store: list " + version + " with " + servers(belief.list.members.size()) + ", " +
-                  seconds_of(belief.list.age) + " old" + remembered);
+        log_.tell(log::events::store_list, version, belief.list.members.size(),
+                  std::chrono::duration_cast<std::chrono::seconds>(belief.list.age).count(),
+                  belief.remembered);
     } else if (belief.other_history) {
-        log_.line("store: what is kept is of another history: the configuration's list " + version);
+        log_.tell(log::events::store_other_history, version);
     } else if (any) {
-        log_.line("store: the configuration's list " + version + " is as new" + remembered);
+        log_.tell(log::events::store_as_new, version, belief.remembered);
     } else {
-        log_.line("store: no list is kept yet");
+        log_.tell(log::events::store_empty);
     }
 }
 
@@ -276,7 +268,7 @@
     }
     const bool too_large = recorder_->too_large();
     if (too_large && !said_too_large_) {
-        log_.line("store: the list is not kept: " + servers(recorder_->members()) + " are too many");
+        log_.tell(log::events::store_too_large, recorder_->members());
     }
     said_too_large_ = too_large;
 }
@@ -313,7 +305,7 @@
 
 void Keeper::on_written(const store::Result& result) {
     if (result) {
-        if (!said_.empty()) log_.line("store: in use again");
+        if (!said_.empty()) log_.tell(log::events::store_in_use);
         said_.clear();
         return;
     }
@@ -331,7 +323,7 @@
 void Keeper::say(const std::string& what) {
     if (what == said_) return;
     said_ = what;
-    log_.line("store: " + what);
+    log_.tell(log::events::store_trouble, what);
 }
 
 void Keeper::finish(std::function<void()> finished) {
--- a/src/engine/side.h
+++ b/src/engine/side.h
@@ -56,6 +56,8 @@
 // What BalancerOptions carries, for the programs of this project.
 struct Sides {
     std::vector<engine::SideMaker> makers;
+    core::Log* log = nullptr;  // gets events as they are; outlives the Balancer
+    std::function<void(const settings::Values&)> on_operators{};
 };
 
 }  // namespace flaxdoor::detail
--- a/src/ingress/cluster.cpp
+++ b/src/ingress/cluster.cpp
@@ -15,6 +15,7 @@
 #include "ingress/reaper.h"
 #include "kube/client.h"
 #include "kube/json.h"
+#include "log/events.h"
 
 namespace flaxdoor::ingress {
 
@@ -98,9 +99,9 @@
                 io_.get_executor(), client_, clock_, std::move(its), random_(),
                 [this, kind](kube::Change change) { take(kind, std::move(change)); },
                 [this, kind](const std::string& trouble) {
-                    say(std::string(gateway::name_of(kind)) +
-                        (trouble.empty() ? ": followed again"
-                                         : ": " + trouble + "; what is known is served on"));
+                    const std::string name(gateway::name_of(kind));
+                    if (trouble.empty()) return say(log::events::gateway_watch_back, name);
+                    say(log::events::gateway_watch_failed, name, trouble);
                 }));
         }
     }
@@ -160,7 +161,7 @@
                 io_.run();
                 return;
             } catch (const std::exception& error) {
-                say(std::string("fault: ") + error.what());
+                say(log::events::gateway_fault, std::string(error.what()));
             }
         }
     }
@@ -176,8 +177,10 @@
         });
     }
 
-    void say(std::string text) {
-        on_loop([this, text = std::move(text)] { log_.line("gateway: " + text); });
+    // Values are copied to the other thread, so texts come as std::string.
+    template <std::size_t N, class... Values>
+    void say(const core::EventOf<N>& event, Values... values) {
+        on_loop([this, &event, ... values = std::move(values)] { log_.tell(event, values...); });
     }
 
     double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
@@ -197,7 +200,7 @@
                 if (!synced_ && std::all_of(follows_.begin(), follows_.end(),
                                             [](const auto& follow) { return follow->listed(); })) {
                     synced_ = true;
-                    say("all resources are known");
+                    say(log::events::gateway_known);
                 }
                 break;
         }
@@ -205,7 +208,7 @@
     }
 
     void complain(const std::string& refused) {
-        if (!refused.empty()) say(refused);
+        if (!refused.empty()) say(log::events::gateway_refused, refused);
     }
 
     // What has come of it is seen to soon.
@@ -214,7 +217,11 @@
         if (controller_.take_status_news()) write_soon();
         if (controller_.held() != held_) {
             held_ = controller_.held();
-            say(held_.empty() ? "nothing is held back any more" : "held back: " + held_);
+            if (held_.empty()) {
+                say(log::events::gateway_released);
+            } else {
+                say(log::events::gateway_held_back, held_);
+            }
         }
         const auto next = controller_.due();
         if (!next) return;
@@ -276,7 +283,7 @@
             auto built = routes::Table::build(std::move(plan.table));
             if (const auto* fault = std::get_if<std::string>(&built)) {
                 // What a rule says was looked at when it was read; together it may still be too much.
-                say("port " + std::to_string(number) + " keeps its table: " + *fault);
+                say(log::events::gateway_table_kept, number, *fault);
                 if (const auto before = tables_.find(number); before != tables_.end())
                     out->emplace(number, before->second);
                 continue;
@@ -358,8 +365,8 @@
             how = Written::gone;
         } else if (status >= 400 && status < 500 && status != 429 && status != 401 && status != 403) {
             how = Written::refused;
-            say("status of " + std::string(gateway::name_of(kind)) + " " + key +
-                " was refused: " + std::to_string(status) + " " + body.substr(0, 300));
+            say(log::events::gateway_status_refused, std::string(gateway::name_of(kind)), key, status,
+                body.substr(0, 300));
         }
         writer_.ended(clock_.now(), how, chance());
         publish();
@@ -376,22 +383,22 @@
             call.limit = std::chrono::seconds(5);
             if (!call.body.empty()) call.content_type = "application/json";
             auto answer = std::make_shared<std::pair<int, std::string>>();
-            client_.start(std::move(call), {[answer](int status, Micros) { answer->first = status; },
-                                            [answer](std::string_view bytes) {
-                                                if (answer->second.size() < answer_most)
-                                                    answer->second.append(bytes);
-                                            },
-                                            [this, answer](bool whole, const std::string&) {
-                                                const bool held = lease_.holds(clock_.now());
-                                                lease_.ended(clock_.now(), whole ? answer->first : 0,
-                                                             answer->second);
-                                                if (lease_.holds(clock_.now()) != held) {
-                                                    say(held ? "the Lease is lost" : "the Lease is ours");
-                                                    publish();
-                                                    write();
-                                                }
-                                                go_on_with_lease();
-                                            }});
+            client_.start(
+                std::move(call),
+                {[answer](int status, Micros) { answer->first = status; },
+                 [answer](std::string_view bytes) {
+                     if (answer->second.size() < answer_most) answer->second.append(bytes);
+                 },
+                 [this, answer](bool whole, const std::string&) {
+                     const bool held = lease_.holds(clock_.now());
+                     lease_.ended(clock_.now(), whole ? answer->first : 0, answer->second);
+                     if (lease_.holds(clock_.now()) != held) {
+                         say(held ? log::events::gateway_lease_lost : log::events::gateway_lease_ours);
+                         publish();
+                         write();
+                     }
+                     go_on_with_lease();
+                 }});
             return;
         }
         if (const auto due = lease_.due()) {
--- a/src/ingress/runtime.cpp
+++ b/src/ingress/runtime.cpp
@@ -8,6 +8,7 @@
 #include "core/latency_floor.h"
 #include "http/calls.h"
 #include "ingress/router.h"
+#include "log/events.h"
 #include "loop/alive.h"
 #include "loop/sockets.h"
 
@@ -487,11 +488,11 @@
             front->listen(loop::parse_endpoint(options_.address + ":" + std::to_string(at)));
             listener.front = std::move(front);
             listener.fault.clear();
-            log_.line("gateway: listening on " + loop::text_of(listener.front->address()) + " for port " +
-                      std::to_string(listener.port));
+            log_.tell(log::events::gateway_listening, loop::text_of(listener.front->address()),
+                      listener.port);
         } catch (const std::exception& error) {
             if (listener.fault.empty())
-                log_.line("gateway: port " + std::to_string(listener.port) + ": " + error.what());
+                log_.tell(log::events::gateway_port_failed, listener.port, error.what());
             listener.fault = error.what();
         }
     }
@@ -502,7 +503,7 @@
         auto listener = std::move(found->second);
         listeners_.erase(found);
         if (!listener->front) return;
-        log_.line("gateway: port " + std::to_string(port) + " is listened on no more");
+        log_.tell(log::events::gateway_port_closed, port);
         (void)listener->front->wind_down();
         ending_.push_back(std::move(listener));
         end_later();
--- a/src/library/instance.cpp
+++ b/src/library/instance.cpp
@@ -189,6 +189,9 @@
         while (text.ends_with('\n')) text.pop_back();
         throw std::invalid_argument("options: " + text);
     }
+    // Guards against a table that is thought to do something and does not.
+    if (std::get<settings::Values>(reading).given("log") && !(options.sides && options.sides->on_operators))
+        throw std::invalid_argument("options: [log] is the daemon's: a host has BalancerOptions::log");
     return std::get<settings::Values>(std::move(reading));
 }
 
@@ -261,7 +264,11 @@
     engine::EngineOptions its{config_of(options),         operators_of(options), !options.listen.empty(),
                               !options.discovery.empty(), open_calls_,           options.keep_taking};
     its.config.seed = seed_;
-    if (options.sides) its.sides = options.sides->makers;
+    if (options.sides) {
+        its.sides = options.sides->makers;
+        its.on_operators = options.sides->on_operators;
+        events_ = options.sides->log;
+    }
     engine_ = std::make_unique<engine::Engine>(executor_, *this, std::move(its));
     if (const auto listens = engine_->address()) address_ = loop::text_of(*listens);
 }
@@ -378,16 +385,17 @@
 void Instance::reconfigure(const BalancerOptions& options) {
     auto config = config_of(options);
     auto operators = operators_of(options);
-    asio::post(
-        executor_, [self = shared_from_this(), config = std::move(config), operators = std::move(operators)] {
-            if (!self->engine_) return;
-            try {
-                self->engine_->reconfigure(config);
-                self->engine_->set_operators(operators);
-            } catch (const std::exception& error) {
-                self->line("fault: the configuration could not be taken: " + std::string(error.what()));
-            }
-        });
+    asio::post(executor_,
+               [self = shared_from_this(), config = std::move(config), operators = std::move(operators)] {
+                   if (!self->engine_) return;
+                   try {
+                       self->engine_->reconfigure(config);
+                       self->engine_->set_operators(operators);
+                   } catch (const std::exception& error) {
+                       self->tell(core::events::fault,
+                                  "the configuration could not be taken: " + std::string(error.what()));
+                   }
+               });
 }
 
 void Instance::set_servers(ServerList servers) {
@@ -429,7 +437,7 @@
     try {
         work();
     } catch (const std::exception& error) {
-        line("fault: " + std::string(error.what()));
+        tell(core::events::fault, error.what());
         bool sending = false;
         {
             const std::lock_guard lock(mutex_);
@@ -616,7 +624,7 @@
     try {
         operation.complete(std::move(answer));
     } catch (const std::exception& error) {
-        line("fault: a handler could not be posted: " + std::string(error.what()));
+        tell(core::events::fault, "a handler could not be posted: " + std::string(error.what()));
     }
 }
 
@@ -719,14 +727,16 @@
     try {
         figures_sink_(name_, figures());
     } catch (...) {
-        line("fault: the sink of figures threw");
+        tell(core::events::fault, "the sink of figures threw");
     }
 }
 
 // Guards against a call without an end for want of a log: a sink that throws has lost its line, no more.
-void Instance::line(std::string_view text) noexcept {
+void Instance::event(const core::Event& event, std::span<const core::Value> values) noexcept {
     try {
-        if (log_ && !silent_) log_(name_, text);
+        if (silent_) return;
+        if (events_) events_->event(event, values);
+        if (log_) log_(name_, core::text_of(event, values));
     } catch (...) {
     }
 }
--- a/src/library/instance.h
+++ b/src/library/instance.h
@@ -49,7 +49,7 @@
     bool on_sending(std::uint64_t token) override;
     void on_started(std::uint64_t, std::unique_ptr<core::Payload>) override {}
     void on_final(std::uint64_t token, core::Final answer) override;
-    void line(std::string_view text) noexcept override;
+    void event(const core::Event& event, std::span<const core::Value> values) noexcept override;
 
 private:
     struct Pending {
@@ -95,6 +95,7 @@
     LoopEnd* loop_end_ = nullptr;
     const std::string name_;
     const std::function<void(std::string_view, std::string_view)> log_;
+    core::Log* events_ = nullptr;  // the daemon's, beside it
     const std::function<void(std::string_view, const BalancerFigures&)> figures_sink_;
     const Micros figures_every_;
     const std::uint64_t seed_;
--- /dev/null
+++ b/src/log/events.h
@@ -0,0 +1,174 @@
+// All events that a program of this project tells of, by the name under which an operator finds them on the page
+// (docs/operators/log.md; a test holds the two together). A name, once out, stays; the core's own are core/event.h.
+// Texts are the lines of format "text": programs read some of them ("listening on"), so they stay as well.
+#pragma once
+
+#include <array>
+
+#include "core/event.h"
+
+namespace flaxdoor::log::events {
+
+using core::event;
+using core::Level;
+
+// ---------------------------------------------------------------------------------------------- the daemon
+
+inline constexpr auto not_started = event("program.failed", Level::error, "flaxdoor: {why}", "why");
+inline constexpr auto listening = event("listening", Level::info, "listening on {address}", "address");
+inline constexpr auto draining = event("draining", Level::info, "draining");
+inline constexpr auto drained = event("drained", Level::info, "drained");
+inline constexpr auto configuration_taken = event("configuration.taken", Level::info, "configuration taken");
+inline constexpr auto discovery_taken =
+    event("configuration.discovery", Level::info, "configuration taken, discovery at {address}", "address");
+inline constexpr auto settings_taken = event("configuration.settings", Level::info, "settings taken");
+inline constexpr auto configuration_kept =
+    event("configuration.kept", Level::warning, "the old configuration stays: {why}", "why");
+inline constexpr auto operators_fault = event("operators.fault", Level::error, "{fault}", "fault");
+inline constexpr auto operators_kept =
+    event("operators.kept", Level::warning, "the old operator's file stays");
+inline constexpr auto operators_contradict =
+    event("operators.contradict", Level::warning,
+          "the old operator's file stays: with what takes a restart it can't be used: {why}", "why");
+inline constexpr auto operators_taken =
+    event("operators.taken", Level::info, "operator's file: {change}", "change");
+inline constexpr auto operators_held =
+    event("operators.held", Level::warning, "operator's file: takes a restart: {change}", "change");
+inline constexpr auto log_dropped =
+    event("log.dropped", Level::warning, "log: {count} lines dropped, nobody read them", "count");
+inline constexpr auto log_left_out =
+    event("log.left_out", Level::warning, "log: {count} lines of {event} left out", "count", "event");
+
+// ------------------------------------------------------------------------------------------ the roster
+
+inline constexpr auto discovery_left_out =
+    event("discovery.left_out", Level::warning, "discovery: left out: {why}", "why");
+inline constexpr auto discovery_watch_failed =
+    event("discovery.watch_failed", Level::warning, "discovery: watch failed: {why}", "why");
+inline constexpr auto discovery_call_failed =
+    event("discovery.call_failed", Level::warning, "discovery: call failed: {why}", "why");
+
+// ------------------------------------------------------------------------------------------- the store
+
+inline constexpr auto store_cut_off =
+    event("store.cut_off", Level::warning,
+          "store: a write that was cut off is dropped: {bytes} bytes of {file} from offset {offset}", "bytes",
+          "file", "offset");
+inline constexpr auto store_in_use = event("store.in_use", Level::info, "store: in use again");
+inline constexpr auto store_not_heeded =
+    event("store.not_heeded", Level::warning, "store: not heeded: {what}", "what");
+inline constexpr auto store_clock_back =
+    event("store.clock_back", Level::warning, "store: the clock has gone back since it was written");
+inline constexpr auto store_list =
+    event("store.list", Level::info,
+          "store: list {version} with {servers:server}, {age_s} s old; {remembered:server} remembered",
+          "version", "servers", "age_s", "remembered");
+inline constexpr auto store_other_history =
+    event("store.other_history", Level::warning,
+          "store: what is kept is of another history: the configuration's list {version}", "version");
+inline constexpr auto store_as_new =
+    event("store.as_new", Level::info,
+          "store: the configuration's list {version} is as new; {remembered:server} remembered", "version",
+          "remembered");
+inline constexpr auto store_empty = event("store.empty", Level::info, "store: no list is kept yet");
+inline constexpr auto store_too_large =
+    event("store.too_large", Level::warning, "store: the list is not kept: {servers:server} are too many",
+          "servers");
+inline constexpr auto store_trouble = event("store.trouble", Level::warning, "store: {what}", "what");
+
+// ----------------------------------------------------------------------------------------- the gateway
+
+inline constexpr auto gateway_listening = event(
+    "gateway.listening", Level::info, "gateway: listening on {address} for port {port}", "address", "port");
+inline constexpr auto gateway_port_failed =
+    event("gateway.port_failed", Level::error, "gateway: port {port}: {why}", "port", "why");
+inline constexpr auto gateway_port_closed =
+    event("gateway.port_closed", Level::info, "gateway: port {port} is listened on no more", "port");
+inline constexpr auto gateway_kept =
+    event("gateway.kept", Level::warning, "gateway: what there was stays: {fault}", "fault");
+inline constexpr auto gateway_ended =
+    event("gateway.ended", Level::info, "gateway: {routed} requests went to pools, {told} were answered here",
+          "routed", "told");
+inline constexpr auto gateway_watch_failed =
+    event("gateway.watch_failed", Level::warning, "gateway: {kind}: {why}; what is known is served on",
+          "kind", "why");
+inline constexpr auto gateway_watch_back =
+    event("gateway.watch_back", Level::info, "gateway: {kind}: followed again", "kind");
+inline constexpr auto gateway_fault = event("gateway.fault", Level::error, "gateway: fault: {what}", "what");
+inline constexpr auto gateway_known = event("gateway.known", Level::info, "gateway: all resources are known");
+inline constexpr auto gateway_refused = event("gateway.refused", Level::warning, "gateway: {what}", "what");
+inline constexpr auto gateway_held_back =
+    event("gateway.held_back", Level::warning, "gateway: held back: {what}", "what");
+inline constexpr auto gateway_released =
+    event("gateway.released", Level::info, "gateway: nothing is held back any more");
+inline constexpr auto gateway_table_kept =
+    event("gateway.table_kept", Level::warning, "gateway: port {port} keeps its table: {why}", "port", "why");
+inline constexpr auto gateway_status_refused =
+    event("gateway.status_refused", Level::warning,
+          "gateway: status of {kind} {name} was refused: {status} {body}", "kind", "name", "status", "body");
+inline constexpr auto gateway_lease_lost =
+    event("gateway.lease_lost", Level::warning, "gateway: the Lease is lost");
+inline constexpr auto gateway_lease_ours =
+    event("gateway.lease_ours", Level::info, "gateway: the Lease is ours");
+
+// ------------------------------------------------------------------------------------------ PostgreSQL
+
+inline constexpr auto postgres_listening =
+    event("postgres.listening", Level::info, "postgres: listening on {address}", "address");
+inline constexpr auto postgres_kept =
+    event("postgres.kept", Level::warning, "postgres: what there was stays: {fault}", "fault");
+inline constexpr auto postgres_ended =
+    event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
+
+// The table: each of them once.
+inline constexpr std::array<const core::Event*, 49> all{&core::events::from_module,
+                                                        &core::events::fault,
+                                                        &not_started,
+                                                        &listening,
+                                                        &draining,
+                                                        &drained,
+                                                        &configuration_taken,
+                                                        &discovery_taken,
+                                                        &settings_taken,
+                                                        &configuration_kept,
+                                                        &operators_fault,
+                                                        &operators_kept,
+                                                        &operators_contradict,
+                                                        &operators_taken,
+                                                        &operators_held,
+                                                        &log_dropped,
+                                                        &log_left_out,
+                                                        &discovery_left_out,
+                                                        &discovery_watch_failed,
+                                                        &discovery_call_failed,
+                                                        &store_cut_off,
+                                                        &store_in_use,
+                                                        &store_not_heeded,
+                                                        &store_clock_back,
+                                                        &store_list,
+                                                        &store_other_history,
+                                                        &store_as_new,
+                                                        &store_empty,
+                                                        &store_too_large,
+                                                        &store_trouble,
+                                                        &gateway_listening,
+                                                        &gateway_port_failed,
+                                                        &gateway_port_closed,
+                                                        &gateway_kept,
+                                                        &gateway_ended,
+                                                        &gateway_watch_failed,
+                                                        &gateway_watch_back,
+                                                        &gateway_fault,
+                                                        &gateway_known,
+                                                        &gateway_refused,
+                                                        &gateway_held_back,
+                                                        &gateway_released,
+                                                        &gateway_table_kept,
+                                                        &gateway_status_refused,
+                                                        &gateway_lease_lost,
+                                                        &gateway_lease_ours,
+                                                        &postgres_listening,
+                                                        &postgres_kept,
+                                                        &postgres_ended};
+
+}  // namespace flaxdoor::log::events
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "log/events.h"
 #include "loop/sockets.h"
 
 namespace flaxdoor::membership {
@@ -222,7 +223,7 @@
         if (heard_ && (!call.watching() || former) && news.list.version < version_) return;
         version_ = news.list.version;
         heard_ = true;
-        if (!news.why.empty()) log_.line("discovery: left out: " + news.why);
+        if (!news.why.empty()) log_.tell(log::events::discovery_left_out, news.why);
     }
     if (&call == watch_.get() && former_) {
         former_->drop();
@@ -240,7 +241,7 @@
     const std::shared_ptr<Call> ended = std::move(watching ? watch_ : fetch_);
     (watching ? watch_ : fetch_).reset();
     if (!failed) return;  // a call for the list that was answered
-    log_.line((watching ? "discovery: watch failed: " : "discovery: call failed: ") + why);
+    log_.tell(watching ? log::events::discovery_watch_failed : log::events::discovery_call_failed, why);
     core::MemberList none;
     none.kind = ListKind::failed;
     sink_(std::move(none));
--- a/src/settings/product.cpp
+++ b/src/settings/product.cpp
@@ -4,6 +4,7 @@
 #include "settings/tables/drain.h"
 #include "settings/tables/gateway.h"
 #include "settings/tables/http.h"
+#include "settings/tables/log.h"
 #include "settings/tables/membership.h"
 #include "settings/tables/postgres.h"
 #include "settings/tables/store.h"
@@ -14,8 +15,8 @@
 Schema product_schema() {
     auto checks = postgres::checks();
     for (auto& each : gateway::checks()) checks.push_back(std::move(each));
-    return Schema({http::table(), core::table(), drain::table(), membership::table(), store::table(),
-                   postgres::table(), postgres::server_table(), postgres::database_table(),
+    return Schema({http::table(), core::table(), drain::table(), log::table(), membership::table(),
+                   store::table(), postgres::table(), postgres::server_table(), postgres::database_table(),
                    postgres::user_table(), gateway::table(), gateway::pool_table(), gateway::route_table()},
                   std::move(checks));
 }
--- a/src/sides/gateway.cpp
+++ b/src/sides/gateway.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 
+#include "log/events.h"
 #include "settings/tables/gateway.h"
 #include "sides/rows.h"
 
@@ -396,7 +397,7 @@
         auto made = gateway_options(operators, seed_);
         if (const auto* faults = std::get_if<settings::Faults>(&made)) {
             const auto& first = faults->first().front();
-            log_.line("gateway: what there was stays: " + settings::line_of("operator's file", first));
+            log_.tell(log::events::gateway_kept, settings::line_of("operator's file", first));
             return false;
         }
         auto& options = std::get<GatewayOptions>(made);
@@ -418,8 +419,7 @@
         cluster_.reset();
         const auto figures = runtime_->figures();
         runtime_->stop();
-        log_.line("gateway: " + std::to_string(figures.routed) + " requests went to pools, " +
-                  std::to_string(figures.told) + " were answered here");
+        log_.tell(log::events::gateway_ended, figures.routed, figures.told);
     }
     Micros longest_deadline() const override { return runtime_->longest_deadline(); }
 
--- a/src/sides/postgres.cpp
+++ b/src/sides/postgres.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <random>
 
+#include "log/events.h"
 #include "settings/tables/postgres.h"
 #include "sides/rows.h"
 
@@ -227,14 +228,14 @@
             throw std::invalid_argument(faults->text("operator's file"));
         service_.emplace(world.executor, world.core, world.clock,
                          std::move(std::get<pg::ServiceOptions>(options)));
-        log_.line("postgres: listening on " + loop::text_of(service_->address()));
+        log_.tell(log::events::postgres_listening, loop::text_of(service_->address()));
     }
 
     bool change(const settings::Values& operators) override {
         auto options = postgres_options(operators, seed_);
         if (const auto* faults = std::get_if<settings::Faults>(&options)) {
             const auto& first = faults->first().front();
-            log_.line("postgres: what there was stays: " + settings::line_of("operator's file", first));
+            log_.tell(log::events::postgres_kept, settings::line_of("operator's file", first));
             return false;
         }
         service_->change(std::move(std::get<pg::ServiceOptions>(options)));
@@ -244,7 +245,7 @@
     void begin_drain() override { service_->begin_drain(); }
     void stop() override {
         service_->stop();
-        log_.line("postgres: " + std::to_string(service_->figures().units) + " units went to the module");
+        log_.tell(log::events::postgres_ended, service_->figures().units);
     }
     Micros longest_deadline() const override { return service_->longest_deadline(); }
 
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -8,25 +8,26 @@
     case $1 in
         policy) echo "" ;;
         core) echo "" ;;
+        log) echo "core settings" ;;
         loop) echo "core" ;;
         http) echo "core loop" ;;
         text) echo "" ;;
         routes) echo "core http" ;;
         gateway) echo "core routes text" ;;
         kube) echo "loop text tls" ;;
-        ingress) echo "core gateway http kube loop routes tls" ;;
-        membership) echo "core loop" ;;
+        ingress) echo "core gateway http kube log loop routes tls" ;;
+        membership) echo "core log loop" ;;
         settings) echo "" ;;
         store) echo "" ;;
         pg) echo "core loop tls" ;;
         recovery) echo "core" ;;
-        sides) echo "core engine ingress kube loop pg routes settings tls" ;;
+        sides) echo "core engine ingress kube log loop pg routes settings tls" ;;
         simwire) echo "" ;;
         tls) echo "" ;;
-        engine) echo "core loop http membership recovery settings simwire store" ;;
+        engine) echo "core log loop http membership recovery settings simwire store" ;;
         library) echo "core loop http membership settings engine" ;;
         middleware) echo "http library" ;;
-        apps) echo "gateway http ingress kube loop settings sides simwire store tls" ;;
+        apps) echo "gateway http ingress kube log loop settings sides simwire store tls" ;;
         *) echo "unknown" ;;
     esac
 }
@@ -80,7 +81,7 @@
 if grep -nE '#include <boost/asio/(ip|io_context|steady_timer|post|read|write|signal)|_clock::now' src/http/*_machine.* src/http/message.* src/http/platform.* src/http/reader.* \
     src/membership/*_machine.h src/membership/list.* src/pg/*_machine.* src/pg/pool.* src/pg/scram.* src/pg/session.* \
     src/pg/sql.* src/pg/wire.* src/tls/* src/kube/answer.* src/kube/reflector.* src/kube/lease.* src/kube/config.* src/kube/yaml.* \
-    src/ingress/router.* src/ingress/explain.*; then
+    src/ingress/router.* src/ingress/explain.* src/log/events.h src/log/limiter.* src/log/queue.* src/log/format.*; then
     fail "a protocol machine knows sockets or time"
 fi
 
--- a/tests/core/fakes.h
+++ b/tests/core/fakes.h
@@ -56,9 +56,9 @@
 
 struct FakeLog final : Log {
     explicit FakeLog(Trip& its_trip) : trip(its_trip) {}
-    void line(std::string_view text) override {
-        trip.pass("Log::line");
-        lines.emplace_back(text);
+    void event(const Event& event, std::span<const Value> values) override {
+        trip.pass("Log::event");
+        lines.push_back(text_of(event, values));
         if (on_line) on_line();
     }
     Trip& trip;
--- a/tests/core/world.h
+++ b/tests/core/world.h
@@ -206,7 +206,8 @@
         maybe_throw();
         alarm_ = at;
     }
-    void line(std::string_view text) override {
+    void event(const Event& event, std::span<const Value> values) override {
+        const std::string text = text_of(event, values);
         if (!nature_.throws) {
             EXPECT_FALSE(text.starts_with("fault")) << text;
         }
--- a/tests/lines.h
+++ b/tests/lines.h
@@ -11,7 +11,9 @@
 namespace flaxdoor::test {
 
 struct Lines final : core::Log {
-    void line(std::string_view text) override { all.emplace_back(text); }
+    void event(const core::Event& event, std::span<const core::Value> values) override {
+        all.push_back(core::text_of(event, values));
+    }
     std::size_t count(std::string_view start) const {
         return static_cast<std::size_t>(
             std::count_if(all.begin(), all.end(), [&](const auto& l) { return l.starts_with(start); }));
--- /dev/null
+++ b/tests/log/reload_test.sh
@@ -0,0 +1,56 @@
+#!/bin/sh
+# The daemon's own lines: by its file, changed by SIGHUP while lines flow; a file with a fault changes nothing.
+# usage: reload_test.sh BALANCER FLAXDOOR
+set -eu
+balancer=$1 flaxdoor=$2
+root=$(cd "$(dirname "$0")/../.." && pwd)
+folder=$(mktemp -d)
+job=
+trap '[ -z "$job" ] || kill -9 "$job" 2>/dev/null || true; rm -rf "$folder"' EXIT
+cd "$folder"
+fail() { echo "$1"; cat log; exit 1; }
+wait_for() {
+    tries=0
+    until grep -q -- "$1" log; do
+        tries=$((tries + 1))
+        [ $tries -lt 600 ] || fail "never: $1"
+        sleep 0.05
+    done
+}
+"$flaxdoor" check "$root/deploy/examples/log.toml"
+# Nobody listens at the roster's address, so `discovery.watch_failed` flows.
+sed -E 's/"listen": *"[^"]*"/"listen": "127.0.0.1:0"/; s/"discovery": *"[^"]*"/"discovery": "127.0.0.1:1"/' \
+    "$root/deploy/examples/config.json" >config.json
+printf '[log]\nformat = "json"\n[drain]\nkeep_accepting = "0s"\n' >my.toml
+NODE_CONFIG=config.json "$balancer" --operator my.toml 2>log &
+job=$!
+wait_for '"event":"listening","address":"127.0.0.1:'
+wait_for '"event":"discovery.watch_failed"'
+printf '[log]\nformat = "xml"\n[drain]\nkeep_accepting = "0s"\n' >my.toml
+kill -HUP $job
+wait_for '"event":"operators.kept"'
+printf '[log]\nformat = "json"\nevents = ["modul=off"]\n[drain]\nkeep_accepting = "0s"\n' >my.toml
+kill -HUP $job
+wait_for 'there is no event \\"modul\\"'
+printf '[log]\nformat = "logfmt"\nevents = ["discovery.watch_failed=off"]\n[drain]\nkeep_accepting = "0s"\n' >my.toml
+kill -HUP $job
+# Told in the old format, since the engine takes it after that.
+wait_for '"event":"operators.taken","change":"log.format'
+before=$(grep -c 'discovery.watch_failed"' log)
+kill -HUP $job
+wait_for '^time=.* level=info event=configuration.discovery address=127.0.0.1:1$'
+kill -TERM $job
+wait_for ' event=draining$'
+wait $job || fail "it ended with $?"
+job=
+[ "$(grep -c 'event=discovery.watch_failed' log)" -eq 0 ] || fail "an event that is off was written"
+[ "$(grep -c 'discovery.watch_failed"' log)" -ge "$before" ]
+python3 - <<'EOP'
+import json
+for line in open("log"):
+    if line.startswith("{"):
+        each = json.loads(line)
+        assert {"time", "level", "event"} <= each.keys(), line
+    else:
+        assert line.startswith("time="), line
+EOP
--- a/tests/pg/rig.h
+++ b/tests/pg/rig.h
@@ -28,7 +28,9 @@
 using namespace std::chrono_literals;
 
 struct Silence final : core::Log {
-    void line(std::string_view text) override { lines.emplace_back(text); }
+    void event(const core::Event& event, std::span<const core::Value> values) override {
+        lines.push_back(core::text_of(event, values));
+    }
     std::vector<std::string> lines;
 };
 
--- a/tests/recovery/herd_test.cpp
+++ b/tests/recovery/herd_test.cpp
@@ -180,7 +180,7 @@
                 if (its_life == life && its == alarm) core->on_alarm();
             });
         }
-        void line(std::string_view) override {}
+        void event(const core::Event&, std::span<const core::Value>) override {}
         void on_started(std::uint64_t, std::unique_ptr<core::Payload>) override {}
         void on_final(std::uint64_t, core::Final answer) override {
             ++world.answered_;
--- a/tools/need.sh
+++ b/tools/need.sh
@@ -5,7 +5,7 @@
     if [ "$1" = --install ]; then install=yes; shift; fi
     # What the build needs stands in the deploy file.
     packages="g++ cmake make $(sed -n 's/^packages = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')"
-    [ "$1" = build ] || packages="$packages clang clang-format libclang-rt-14-dev libgtest-dev libbenchmark-dev librestinio-dev libfmt-dev libhttp-parser-dev pkg-config libpqxx-dev libpq-dev procps python3"
+    [ "$1" = build ] || packages="$packages clang clang-format libclang-rt-14-dev libgtest-dev libbenchmark-dev librestinio-dev libhttp-parser-dev pkg-config libpqxx-dev libpq-dev procps python3"
     missing=
     for package in $packages; do
         case $(dpkg-query -W -f '${Status}' "$package" 2>/dev/null) in
