--- a/src/log/format.cpp
+++ b/src/log/format.cpp
@@ -26,10 +26,7 @@
 
 // In quotes, ASCII only.
 std::string quoted(std::string_view text) {
-    std::string out = nlohmann::json(text).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
-    // The one byte below 128 that JSON leaves as it is, and a terminal does not print.
-    for (auto at = out.find('\x7f'); at != out.npos; at = out.find('\x7f', at)) out.replace(at, 1, "\\u007f");
-    return out;
+    return nlohmann::json(text).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
 bool is_bare(std::string_view text) {
