Stand-ins: what stands in for outside systems leaves the tests, and what was written twice is one

Need: tests were 40% of the repository, a part of it infrastructure that stands in for outside systems and is of use beyond one folder; some of it stood there twice.

--- a/tests/suite/faults/counts.h
+++ b/standins/socket_faults/counts.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <string_view>
 
-namespace flaxdoor::test {
+namespace flaxdoor::standins::sockets {
 
 enum class Call { accept, socket, connect, connected, write, read, epoll_ctl, epoll_wait };
 inline constexpr std::string_view call_names[] = {"accept", "socket", "connect",   "connected",
@@ -18,4 +18,4 @@
     std::atomic<unsigned> failed;
 };
 
-}  // namespace flaxdoor::test
+}  // namespace flaxdoor::standins::sockets
--- a/tests/suite/faults/faults.cpp
+++ b/standins/socket_faults/faults.cpp
@@ -36,12 +36,12 @@
 
 namespace {
 
-using flaxdoor::test::Call;
-using flaxdoor::test::call_names;
-using flaxdoor::test::Counts;
-using flaxdoor::test::Failure;
-using flaxdoor::test::faults;
-using flaxdoor::test::Faults;
+using flaxdoor::standins::sockets::Call;
+using flaxdoor::standins::sockets::call_names;
+using flaxdoor::standins::sockets::Counts;
+using flaxdoor::standins::sockets::Failure;
+using flaxdoor::standins::sockets::faults;
+using flaxdoor::standins::sockets::Faults;
 
 constexpr int brief = -1;  // SHORT
 
@@ -111,7 +111,7 @@
 
 }  // namespace
 
-namespace flaxdoor::test {
+namespace flaxdoor::standins::sockets {
 
 struct Faults::Watch {
     int epoll;
@@ -157,7 +157,7 @@
     return 0;
 }
 
-}  // namespace flaxdoor::test
+}  // namespace flaxdoor::standins::sockets
 
 namespace {
 
--- a/tests/suite/faults/faults.h
+++ b/standins/socket_faults/faults.h
@@ -11,7 +11,7 @@
 
 #include "counts.h"
 
-namespace flaxdoor::test {
+namespace flaxdoor::standins::sockets {
 
 struct Failure {
     Call call{};
@@ -46,4 +46,4 @@
 // for every thread; by linked.cpp: one that this thread was given.
 const Faults* faults() noexcept;
 
-}  // namespace flaxdoor::test
+}  // namespace flaxdoor::standins::sockets
--- a/tests/suite/faults/linked.cpp
+++ b/standins/socket_faults/linked.cpp
@@ -1,6 +1,6 @@
 #include "linked.h"
 
-namespace flaxdoor::test {
+namespace flaxdoor::standins::sockets {
 
 namespace {
 
@@ -16,4 +16,4 @@
 
 const Faults* faults() noexcept { return here; }
 
-}  // namespace flaxdoor::test
+}  // namespace flaxdoor::standins::sockets
--- a/tests/suite/faults/linked.h
+++ b/standins/socket_faults/linked.h
@@ -6,7 +6,7 @@
 
 #include "faults.h"
 
-namespace flaxdoor::test {
+namespace flaxdoor::standins::sockets {
 
 // While it lives, the calls of the thread that made it meet with its plan. One for each thread at a time, and
 // destroyed by the same thread.
@@ -21,4 +21,4 @@
     Faults faults_;
 };
 
-}  // namespace flaxdoor::test
+}  // namespace flaxdoor::standins::sockets
--- a/tests/suite/faults/preloaded.cpp
+++ b/standins/socket_faults/preloaded.cpp
@@ -3,7 +3,7 @@
 
 #include "faults.h"
 
-namespace flaxdoor::test {
+namespace flaxdoor::standins::sockets {
 
 const Faults* faults() noexcept {
     const char* const plan = std::getenv("FLAXDOOR_FAIL");
@@ -11,4 +11,4 @@
     return &all;
 }
 
-}  // namespace flaxdoor::test
+}  // namespace flaxdoor::standins::sockets
--- a/tests/store/folder_here.h
+++ b/tests/store/folder_here.h
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace flaxdoor::store::test {
@@ -21,6 +22,11 @@
     FolderHere(const FolderHere&) = delete;
     FolderHere& operator=(const FolderHere&) = delete;
     const std::string& path() const { return path_; }
+    // A file in it; where it is.
+    std::string write(const std::string& name, const std::string& content) const {
+        std::ofstream(path_ + "/" + name, std::ios::binary) << content;
+        return path_ + "/" + name;
+    }
 
 private:
     std::string path_;
--- a/tests/suite/socket_failures_test.cpp
+++ b/tests/suite/socket_failures_test.cpp
@@ -13,12 +13,16 @@
 #include <set>
 #include <system_error>
 
-#include "faults/counts.h"
 #include "peers.h"
+#include "standins/socket_faults/counts.h"
 
 namespace flaxdoor::test {
 namespace {
 
+using standins::sockets::Call;
+using standins::sockets::call_names;
+using standins::sockets::Counts;
+
 // The file in which the program's calls are counted.
 class CountsFile {
 public:
