Tests of the daemon's memory: one stage that has been started and kept a list

Need: nine tests began with the same four lines, and folder and questions were written again beside the suite's own.

Change: KeptStage; the suite's watch() and serve(). The cancel that reaches what runs has its own test again: libpq's does not tell a cancel that is lost from a deadline, which has the same code (seen by breaking the code).

--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -172,6 +172,17 @@
 
 // -------------------------------------------------------------------------------------------------- cancels
 
+TEST(Cancel, ReachesWhatRuns) {
+    Rig rig({"a"});
+    const auto client = Client::logged_in(rig);
+    begin_sleep(rig, *client);
+    const auto other = Client::saying(rig, wire::cancel(client->process, client->secret));
+    ASSERT_TRUE(rig.until([&] { return client->readies() == 1 && other->ended(); }));
+    EXPECT_EQ(client->answers()[0].code, "57014");
+    EXPECT_EQ(rig.servers[0]->cancels(), 1u);
+    EXPECT_EQ(client->ask(simple("SELECT 1")).rows.size(), 1u);
+}
+
 TEST(Cancel, WithAWrongSecretDoesNothing) {
     Rig rig({"a"});
     const auto client = Client::logged_in(rig);
--- a/tests/recovery/daemon_test.cpp
+++ b/tests/recovery/daemon_test.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <map>
 
+#include "../store/folder_here.h"
 #include "../suite/peers.h"
 
 namespace flaxdoor::test {
@@ -12,16 +13,7 @@
 
 class Kept {
 public:
-    Kept() {
-        std::string name = (fs::temp_directory_path() / "kept-XXXXXX").string();
-        if (!::mkdtemp(name.data())) throw std::runtime_error("mkdtemp");
-        root_ = name;
-    }
-    ~Kept() {
-        std::error_code ignored;
-        fs::remove_all(root_, ignored);
-    }
-    fs::path folder() const { return root_ / "store"; }
+    fs::path folder() const { return fs::path(root_.path()) / "store"; }
     std::string operators(const std::string& more = {}) const {
         return "[store]\nfolder = \"" + folder().string() +
                "\"\nremember_every = \"100ms\"\nsoon = \"1ms\"\n" + more;
@@ -50,24 +42,25 @@
     }
 
 private:
-    fs::path root_;
+    const store::test::FolderHere root_;
 };
 
-std::shared_ptr<Wire> asked(Stage& s, std::size_t n) {
-    s.until([&] { return s.discovery.wires.size() >= n && has(s.discovery.wires[n - 1]->in, "\r\n\r\n"); });
-    return s.discovery.wires[n - 1];
-}
-
-// A configuration that knows upstream 0 only, and a list that knows 1 and 2 only.
-void first_start(Stage& s, const Kept& kept, int version = 9) {
-    s.config["known"]["hosts"] = {s.upstream(0)};
-    s.operators = kept.operators();
-    s.start();
-    json news = s.list(version, true);
-    news["hosts"] = {s.upstream(1), s.upstream(2, "leaving")};
-    asked(s, 1)->say(watch_head + chunk(news.dump() + "\n"));
-    s.until([&] { return kept.holds("\"version\":" + std::to_string(version) + "}"); });
-}
+// A configuration that knows upstream 0 only, and a list, 9, that knows 1 and 2 only; started, and the list kept.
+struct KeptStage : Stage {
+    KeptStage() : Stage(3) {
+        config["known"]["hosts"] = json::array({upstream(0)});
+        operators = kept.operators();
+        start();
+        json news = list(9, true);
+        news["hosts"] = {upstream(1), upstream(2, "leaving")};
+        watch()->say(watch_head + chunk(news.dump() + "\n"));
+        until_kept(9);
+    }
+    void until_kept(int version) {
+        until([&] { return kept.holds("\"version\":" + std::to_string(version) + "}"); });
+    }
+    const Kept kept;
+};
 
 // Killed, and started again.
 void again(Stage& s) {
@@ -79,61 +72,47 @@
 std::size_t served_by(Stage& s, std::size_t upstream) {
     const auto client = s.client();
     const auto before = s.upstreams[upstream]->wires.size();
-    client->say(s.look());
-    s.request().first->say(ok());
-    EXPECT_EQ(status(s.answer(*client)), 200);
+    s.serve(*client);
     return s.upstreams[upstream]->wires.size() - before;
 }
 
 TEST(Recovery, ServesAtOnceFromTheStoreWithDiscoveryDown) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     s.discovery.close();
     again(s);
     EXPECT_TRUE(has(s.line("store: list 9 with 2 servers, "), " s old; ")) << s.line("store: list 9");
     EXPECT_EQ(served_by(s, 1), 1U);
     const auto client = s.client();
-    for (int i = 0; i < 6; ++i) {
-        client->say(s.look());
-        s.request().first->say(ok());
-        EXPECT_EQ(status(s.answer(*client)), 200);
-    }
+    for (int i = 0; i < 6; ++i) s.serve(*client);
     EXPECT_TRUE(s.upstreams[0]->wires.empty());  // the configuration's own list is older
     EXPECT_TRUE(s.upstreams[2]->wires.empty());  // it drains
 }
 
 TEST(Recovery, TheWatchGoesOnFromTheStoredVersion) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     again(s);
-    const auto watch = asked(s, 2);
+    const auto watch = s.watch(s.discovery, 2);
     EXPECT_TRUE(has(watch->in, "index=9 ")) << watch->in;
     json news = s.list(10, false);
-    news["hosts"] = {s.upstream(2)};
+    news["hosts"] = json::array({s.upstream(2)});
     watch->say(watch_head + chunk(news.dump() + "\n"));
-    s.until([&] { return kept.holds("\"version\":10}"); });
+    s.until_kept(10);
     s.discovery.close();
     again(s);
     s.line("store: list 10 with 2 servers, ");
 }
 
 TEST(Recovery, ANewerConfigurationWins) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     s.config["known"]["seq"] = 12;
     again(s);
     s.line("store: the configuration's list 12 is as new");
-    EXPECT_TRUE(has(asked(s, 2)->in, "index=12 "));
+    EXPECT_TRUE(has(s.watch(s.discovery, 2)->in, "index=12 "));
     EXPECT_EQ(served_by(s, 0), 1U);
 }
 
 TEST(Recovery, AnotherHistoryGoesToTheConfigurations) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     Listener elsewhere(s.loop);
     s.config["discovery"] = text_of(elsewhere.address());
     again(s);
@@ -143,49 +122,45 @@
 
 // It starts, serves, says so once with file and offset, and leaves the files as they are.
 TEST(Recovery, AStoreDamagedBeforeItsTailIsNotUsedAndItsFilesAreKept) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     for (int version = 10; version < 14; ++version) {
         s.discovery.wires[0]->say(chunk(s.list(version, true).dump() + "\n"));
-        s.until([&] { return kept.holds("\"version\":" + std::to_string(version) + "}"); });
+        s.until_kept(version);
     }
     s.form.reset();
     std::size_t damaged = 0;
-    for (auto [name, content] : kept.files()) {
+    for (auto [name, content] : s.kept.files()) {
         const auto at = content.find("\"version\":9}");
         if (at == std::string::npos) continue;
         content[at + 10] = '8';
-        kept.write(name, content);
+        s.kept.write(name, content);
         ++damaged;
     }
     ASSERT_EQ(damaged, 1U);
-    const auto before = kept.files();
+    const auto before = s.kept.files();
     s.form = make_form(s.loop);
     s.start();
     const auto line = s.line("store: not used: ");
     EXPECT_TRUE(has(line, ".log, offset ")) << line;
     EXPECT_TRUE(has(line, "its files stay as they are")) << line;
     EXPECT_EQ(served_by(s, 0), 1U);
-    asked(s, 2)->say(watch_head + chunk(s.list(20, true).dump() + "\n") + chunk("\n"));
+    s.watch(s.discovery, 2)->say(watch_head + chunk(s.list(20, true).dump() + "\n") + chunk("\n"));
     s.settle();
     s.end();
     s.until_ended();
     EXPECT_EQ(s.logged("store: "), 1U);
-    EXPECT_EQ(kept.files(), before);
+    EXPECT_EQ(s.kept.files(), before);
 }
 
 // A write that was cut off by the kill is no damage.
 TEST(Recovery, ATailThatWasCutIsDroppedAndSaid) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     s.form.reset();
     std::string last;
-    for (const auto& [name, content] : kept.files()) {
+    for (const auto& [name, content] : s.kept.files()) {
         if (name.ends_with(".log")) last = name;
     }
-    kept.write(last, kept.files()[last] + std::string("\x17torn"));
+    s.kept.write(last, s.kept.files()[last] + std::string("\x17torn"));
     s.discovery.close();
     s.form = make_form(s.loop);
     s.start();
@@ -230,12 +205,10 @@
          }},
     };
     for (const Foreign& foreign : all) {
-        Stage s(3);
-        const Kept kept;
-        first_start(s, kept);
+        KeptStage s;
         s.form.reset();
-        foreign.make(s, kept);
-        const auto before = kept.files();
+        foreign.make(s, s.kept);
+        const auto before = s.kept.files();
         s.form = make_form(s.loop);
         s.start();
         const auto line = s.line("store: not used: ");
@@ -246,22 +219,18 @@
         s.end();
         s.until_ended();
         EXPECT_EQ(s.logged("store: "), 1U) << foreign.name;
-        EXPECT_EQ(kept.files(), before) << foreign.name;
+        EXPECT_EQ(s.kept.files(), before) << foreign.name;
     }
 }
 
 TEST(Recovery, AFolderThatAnotherProcessHasIsNotUsed) {
-    Stage s(3);
-    const Kept kept;
-    first_start(s, kept);
+    KeptStage s;
     Stage other(3);
     other.operators = s.operators;
     other.start();
     other.line("store: not used: another process has the store open");
     const auto client = other.client();
-    client->say(other.look());
-    other.request().first->say(ok());
-    EXPECT_EQ(status(other.answer(*client)), 200);
+    other.serve(*client);
 }
 
 // Off unless the operator's file has the table.
