Tests: one configuration for the engine's tests and the suite's; the counts of socket calls beside what counts

Need: the suite's stage and the engine's tests wrote the same configuration out, each for itself; the file that counts socket calls is a part of the stand-in.

Change: tests/plain_config.h serves both, lists of one named as lists; standins/socket_faults/counts_file.h.

--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -6,13 +6,16 @@
 
 #include <boost/asio.hpp>
 
+#include "../plain_config.h"
 #include "lines.h"
-#include "plain_config.h"
 #include "settings/product.h"
 
 namespace flaxdoor::engine::test {
 namespace {
 
+using flaxdoor::test::plain;
+using nlohmann::json;
+
 TEST(Config, FlattensToTheWiresLines) {
     const json settings = {{"a", {{"b", 1.5}, {"c", true}}},
                            {"names", {"full node", "x,y"}},
--- a/tests/engine/plain_config.h
+++ b/tests/plain_config.h
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace flaxdoor::engine::test {
+namespace flaxdoor::test {
 
 using nlohmann::json;
 
@@ -21,13 +21,13 @@
             {"listen", "127.0.0.1:0"},
             {"discovery", "127.0.0.1:1"},
             {"seed", "8c1f30d27a5be964"},
-            {"known", {{"seq", 7}, {"whole", true}, {"hosts", {host}}}},
+            {"known", {{"seq", 7}, {"whole", true}, {"hosts", json::array({host})}}},
             {"settings",
              {{"rank", 0},
               {"siblings", 1},
               {"zone", 0},
               {"zones", {"here", "there"}},
-              {"flavors", {"full node"}},
+              {"flavors", json::array({"full node"})},
               {"tick", 1.0},
               {"registry_mode", "push"},
               {"services",
@@ -38,4 +38,4 @@
               {"load_report", {{"how", "inline"}, {"fields", {"active", "avg_ms"}}}}}}};
 }
 
-}  // namespace flaxdoor::engine::test
+}  // namespace flaxdoor::test
--- a/tests/recovery/keeper_test.cpp
+++ b/tests/recovery/keeper_test.cpp
@@ -9,9 +9,9 @@
 #include <mutex>
 #include <thread>
 
-#include "../engine/plain_config.h"
 #include "engine/engine.h"
 #include "lines.h"
+#include "plain_config.h"
 #include "recovery/recorder.h"
 #include "settings/product.h"
 #include "settings/reader.h"
@@ -24,6 +24,9 @@
 namespace {
 
 using flaxdoor::test::Lines;
+using flaxdoor::test::plain;
+using flaxdoor::test::service;
+using nlohmann::json;
 using namespace std::chrono_literals;
 using standins::run_until;
 
--- a/tests/suite/peers.h
+++ b/tests/suite/peers.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "../plain_config.h"
 #include "form.h"
 #include "standins/peers.h"
 #include "standins/run_until.h"
@@ -40,41 +41,19 @@
 // How a watch's answer begins.
 inline const char* const watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-inline json test_class(const char* name, const char* effect, double deadline) {
-    return {{"name", name},      {"aim", 150.0},    {"hard_limit", deadline},
-            {"effect", effect},  {"worth", 1.0},    {"stream", false},
-            {"late_worth", 0.5}, {"group", "zone"}, {"window", 1500.0}};
-}
-
 // A balancer between its peers.
 class Stage {
 public:
     explicit Stage(int upstreams = 2) : discovery(loop), form(make_form(loop)) {
         for (int i = 0; i < upstreams; ++i) this->upstreams.push_back(std::make_unique<Listener>(loop));
-        config = {{"name", "n0"},
-                  {"listen", "127.0.0.1:0"},
-                  {"discovery", text_of(discovery.address())},
-                  {"seed", "8c1f30d27a5be964"},
-                  {"limits", {{"sockets", 1024}}},
-                  {"known", list(7, true)}};
-        config["settings"] = {
-            {"rank", 0},
-            {"siblings", 1},
-            {"zone", 0},
-            {"zones", {"here", "there"}},
-            {"flavors", {"full node"}},
-            {"tick", 1.0},
-            {"registry_mode", "ask"},
-            {"tenants", json::array()},
-            {"limits",
-             {{"cancel", true},
-              {"parallel_tries", true},
-              {"max_attempts", 5},
-              {"connect_timeout", 2000.0},
-              {"idle_close", 60000.0}}},
-            {"load_report", {{"how", "inline"}, {"fields", {"active", "avg_ms"}}}},
-            {"invariants", {{"ask_within", 100.0}, {"drain_grace", 2000.0}, {"answer_slack", 5.0}}},
-        };
+        config = plain();
+        config["discovery"] = text_of(discovery.address());
+        config["limits"] = {{"sockets", 1024}};
+        config["known"] = list(7, true);
+        json& settings = config["settings"];
+        settings["registry_mode"] = "ask";
+        settings["limits"].update({{"cancel", true}, {"parallel_tries", true}});
+        settings["invariants"] = {{"ask_within", 100.0}, {"drain_grace", 2000.0}, {"answer_slack", 5.0}};
         set_deadline(5000);
     }
     // What holds in every test: it ends by itself only when it was told to, and no checker found a fault in
@@ -94,9 +73,9 @@
 
     // The longest that a client of any class waits, in milliseconds.
     void set_deadline(double ms) {
-        config["settings"]["services"] = {test_class("look", "idempotent", ms),
-                                          test_class("book it", "deduplicated", ms),
-                                          test_class("once", "at_most_once", ms)};
+        config["settings"]["services"] = {service("look", "idempotent", 150, ms),
+                                          service("book it", "deduplicated", 150, ms),
+                                          service("once", "at_most_once", 150, ms)};
     }
     json upstream(std::size_t i, const char* health = "active") {
         return entry("s-" + std::to_string(i), upstreams[i]->address(), health);
--- a/tests/suite/socket_failures_test.cpp
+++ b/tests/suite/socket_failures_test.cpp
@@ -1,57 +1,21 @@
 // Each call on a socket that a program makes in a fixed course of requests fails once, one after the other,
 // and then many in a row. Whatever it was: every client gets one whole answer, or the end of its connection
 // with nothing sent on for it; nothing unsafe runs twice; and the next plain request is served.
-#include <fcntl.h>
-#include <sys/mman.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cstdlib>
-#include <filesystem>
 #include <map>
 #include <ostream>
 #include <set>
-#include <system_error>
 
 #include "peers.h"
-#include "standins/socket_faults/counts.h"
+#include "standins/socket_faults/counts_file.h"
 
 namespace flaxdoor::test {
 namespace {
 
 using standins::sockets::Call;
 using standins::sockets::call_names;
-using standins::sockets::Counts;
-
-// The file in which the program's calls are counted.
-class CountsFile {
-public:
-    CountsFile() : path_((std::filesystem::temp_directory_path() / "suite-counts-XXXXXX").string()) {
-        const int file = ::mkstemp(path_.data());
-        if (file < 0 || ::ftruncate(file, sizeof(Counts)) != 0) fail("counts");
-        void* const at = ::mmap(nullptr, sizeof(Counts), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
-        ::close(file);
-        if (at == MAP_FAILED) fail("mmap");
-        counts_ = static_cast<Counts*>(at);
-    }
-    ~CountsFile() {
-        ::munmap(counts_, sizeof(Counts));
-        std::filesystem::remove(path_);
-    }
-    CountsFile(const CountsFile&) = delete;
-    CountsFile& operator=(const CountsFile&) = delete;
-
-    const std::string& path() const { return path_; }
-    unsigned made(Call call) const { return counts_->made[static_cast<std::size_t>(call)]; }
-    unsigned failed() const { return counts_->failed; }
-
-private:
-    [[noreturn]] static void fail(const char* what) {
-        throw std::system_error(errno, std::generic_category(), what);
-    }
-    std::string path_;
-    Counts* counts_ = nullptr;
-};
+using standins::sockets::CountsFile;
 
 // What a client may meet with because of a failure.
 enum class Bound {
