The door's hook: ahead of the core by [door], its settings, and door explain

Need: the queues of src/door served nobody. Change: engine/doorway stands between HTTP's front and the core with [door], and is not there without it (one comparison a request); [door], [[door_tenant]] and [[door_class]] with an example; flaxdoor door explain plays a load script; a drain refuses only what would have to wait. Result: 40 random worlds with a real core under virtual time: one final answer each before its deadline, nothing twice, nothing left at the end.

--- a/src/apps/flaxdoor.cpp
+++ b/src/apps/flaxdoor.cpp
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "apps/door_commands.h"
 #include "apps/route_commands.h"
 #include "apps/store_commands.h"
 #include "settings/page.h"
@@ -137,7 +138,7 @@
 }
 
 constexpr Command commands[] = {
-    add_check, add_settings, flaxdoor::apps::add_routes, flaxdoor::apps::add_store, add_lab, add_version};
+    add_check, add_settings, flaxdoor::apps::add_door, flaxdoor::apps::add_routes, flaxdoor::apps::add_store, add_lab, add_version};
 
 }  // namespace
 
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -302,7 +302,6 @@
         return Arrival{0, false, refusal(now, tenant, request.class_index, client, reason, soonest)};
     };
     const Micros median = micros(of_class.median);
-    if (draining_) return refuse(Reason::draining, median);
     if (const auto over = over_limits(now, its, of_class, client)) return refuse(over->first, over->second);
 
     const double cost = request.cost_hint ? micros(*request.cost_hint) : of_class.mean;
@@ -314,6 +313,7 @@
     if (waits && !its.flows) its.flows = std::make_unique<Flows>(now, draw());
     if (its.flows) flow = static_cast<std::uint32_t>(its.flows->place(now, client, cost, draw()));
     if (waits) {
+        if (draining_) return refuse(Reason::draining, median);
         if (held_bytes(request) > terms_.most_bytes) return refuse(Reason::total_bytes, median);
         if (now + expected_wait(now, its, flow) + service > request.deadline)
             return refuse(Reason::too_late, median);
--- /dev/null
+++ b/src/engine/door_terms.cpp
@@ -0,0 +1,66 @@
+#include "engine/door_terms.h"
+
+#include <algorithm>
+
+#include "settings/tables/door.h"
+
+namespace flaxdoor::engine {
+
+namespace {
+
+namespace keys = settings::door;
+
+door::Limits limits_of(std::int64_t open, double per_s, double burst) {
+    return {static_cast<std::uint32_t>(open), per_s, std::max(1.0, burst)};
+}
+
+}  // namespace
+
+door::Terms door_terms(const Settings& settings, const settings::Values& operators,
+                       const std::function<void(const std::string&)>& log) {
+    const auto& table = operators.row("door");
+    door::Terms terms;
+    for (const auto& each : settings.tenants)
+        terms.tenants.push_back({each.name, each.fraction > 0 ? each.fraction * 100 : 1, {}});
+    if (terms.tenants.size() > 256) {
+        log("door: more than 256 tenants; the rest share one place");
+        terms.tenants.resize(256);
+    }
+    terms.others = {"others", table.get(keys::others_weight), {}};
+    for (const auto& row : operators.rows("door_tenant")) {
+        const auto name = row.get(keys::tenant_name);
+        const auto its = std::find_if(terms.tenants.begin(), terms.tenants.end(),
+                                      [&](const auto& each) { return each.name == name; });
+        if (its == terms.tenants.end()) {
+            log("door: the platform names no tenant " + name);
+            continue;
+        }
+        its->weight = row.get(keys::tenant_weight);
+        its->limits =
+            limits_of(row.get(keys::tenant_open), row.get(keys::tenant_rate), row.get(keys::tenant_burst));
+    }
+    for (const auto& each : settings.classes)
+        terms.classes.push_back({each.name, each.worth, each.aim / 4, {}});
+    for (const auto& row : operators.rows("door_class")) {
+        const auto name = row.get(keys::class_name);
+        const auto its = std::find_if(terms.classes.begin(), terms.classes.end(),
+                                      [&](const auto& each) { return each.name == name; });
+        if (its == terms.classes.end()) {
+            log("door: the platform names no class " + name);
+            continue;
+        }
+        its->limits =
+            limits_of(row.get(keys::class_open), row.get(keys::class_rate), row.get(keys::class_burst));
+    }
+    terms.client =
+        limits_of(table.get(keys::client_open), table.get(keys::client_rate), table.get(keys::client_burst));
+    terms.most_entries = static_cast<std::size_t>(table.get(keys::max_waiting));
+    terms.most_bytes = static_cast<std::size_t>(table.get(keys::max_bytes).count);
+    terms.head_start = table.get(keys::head_start);
+    terms.patience = table.get(keys::patience);
+    terms.book.whole_seconds = table.get(keys::whole_seconds);
+    if (settings.max_retry_after > Micros{}) terms.book.longest = settings.max_retry_after;
+    return terms;
+}
+
+}  // namespace flaxdoor::engine
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
+#include "engine/doorway.h"
 #include "engine/keeper.h"
 #include "engine/side.h"
 #include "http/back.h"
@@ -107,6 +108,7 @@
           sockets_(sockets_of(config_)),
           for_clients_(options.listens ? part(sockets_, operators_.get(settings::http::client_share)) : 0),
           alarm_(executor, clock_),
+          door_alarm_(executor, clock_),
           core_(clock_, alarm_, log, core_options(operators_, open_calls_)),
           budget_{sockets_ - for_clients_, 0},
           back_(executor, core_, clock_, budget_, back_options()),
@@ -132,8 +134,16 @@
             keeper_->remember([this](UpstreamId upstream) { return core_.learned(pool_, upstream); });
         if (options.listens) {
             handler_ = std::make_unique<http::PlatformHandler>(core_, pool_);
-            front_ = std::make_unique<http::Front>(executor, core_, *handler_, clock_,
-                                                   front_limits(operators_, sockets_, for_clients_));
+            if (operators_.given("door")) {
+                doorway_ =
+                    std::make_unique<Doorway>(Doorway::World{core_, clock_, door_alarm_, log_, *handler_},
+                                              config_.settings, operators_, config_.seed);
+                door_alarm_.on_due([this] { doorway_->on_alarm(); });
+            }
+            http::Handler& handler = doorway_ ? static_cast<http::Handler&>(*doorway_) : *handler_;
+            front_ = std::make_unique<http::Front>(executor, core_, handler, clock_,
+                                                   front_limits(operators_, sockets_, for_clients_),
+                                                   http::Front::MakeChannel{}, doorway_.get());
         }
         begin_sides(options.sides);
         use_operators();
@@ -163,6 +173,7 @@
             config_.settings = config.settings;
             config_.report_fields = config.report_fields;
             back_.set_options(back_options());
+            if (doorway_) doorway_->change(config_.settings, operators_);
             log_.line("settings taken");
         }
         if (!roster_) return log_.line("configuration taken");
@@ -186,6 +197,7 @@
         }
         operators_ = std::move(reload.values);
         use_operators();
+        if (doorway_) doorway_->change(config_.settings, operators_);
         bool all = true;
         for (const auto& side : sides_) all = side->change(operators_) && all;
         return all;
@@ -206,6 +218,7 @@
         for (const auto& side : sides_) longest = std::max(longest, side->longest_deadline());
         const Micros keep_accepting = front_ ? keep_accepting_ : keep_taking_;
         if (front_) front_->begin_drain();
+        if (doorway_) doorway_->begin_drain();
         for (const auto& side : sides_) side->begin_drain();
         drain_end_ = clock_.now() + keep_accepting + longest + end_slack_;
         wind_down_after(keep_accepting);
@@ -213,6 +226,9 @@
 
     bool drained() const { return drained_; }
     core::Figures figures() const { return core_.figures(); }
+    std::optional<door::Figures> door() const {
+        return doorway_ ? std::optional(doorway_->figures()) : std::nullopt;
+    }
     std::size_t servers() const { return back_.known(); }
     std::size_t connections() const { return budget_.open + (front_ ? front_->figures().connections : 0); }
 
@@ -260,6 +276,7 @@
         log_.line("drained");
         if (roster_) roster_->stop();
         core_.close();
+        if (doorway_) doorway_->stop();
         // What was learned is asked for while the pool is there.
         const auto end = [this] {
             if (on_drained_) on_drained_();
@@ -282,7 +299,7 @@
     Micros keep_accepting_{};
     Micros end_slack_{};
     loop::Clock clock_;
-    loop::Alarm alarm_;
+    loop::Alarm alarm_, door_alarm_;
     core::Core core_;
     http::ConnectionBudget budget_;
     http::Back back_;
@@ -290,6 +307,7 @@
     std::unique_ptr<membership::Roster> roster_;
     core::PoolId pool_ = 0;
     std::unique_ptr<http::PlatformHandler> handler_;
+    std::unique_ptr<Doorway> doorway_;  // with [door]
     std::unique_ptr<http::Front> front_;
     std::vector<std::unique_ptr<Side>> sides_;
     boost::asio::steady_timer timer_;
@@ -314,6 +332,7 @@
 void Engine::drain(std::function<void()> drained) { impl_->drain(std::move(drained)); }
 bool Engine::drained() const { return impl_->drained(); }
 core::Figures Engine::figures() const { return impl_->figures(); }
+std::optional<door::Figures> Engine::door() const { return impl_->door(); }
 std::size_t Engine::servers() const { return impl_->servers(); }
 std::size_t Engine::connections() const { return impl_->connections(); }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -15,6 +15,7 @@
 #include <optional>
 
 #include "core/core.h"
+#include "door/door.h"
 #include "engine/config.h"
 #include "engine/side.h"
 #include "loop/executor.h"
@@ -64,8 +65,9 @@
     bool drained() const;
 
     core::Figures figures() const;
-    std::size_t servers() const;      // that the pool lists
-    std::size_t connections() const;  // to servers and from clients
+    std::optional<door::Figures> door() const;  // with [door]
+    std::size_t servers() const;                // that the pool lists
+    std::size_t connections() const;            // to servers and from clients
 
 private:
     class Impl;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -33,13 +33,14 @@
 class Front::Impl final : public core::Front, public std::enable_shared_from_this<Impl> {
 public:
     Impl(const loop::Executor& loop, core::Core& core, Handler& handler, const core::Clock& clock,
-         FrontLimits limits, MakeChannel tls)
+         FrontLimits limits, MakeChannel tls, core::Intake* intake)
         : loop_(loop),
           core_(core),
           handler_(handler),
           clock_(clock),
           limits_(limits),
           tls_(std::move(tls)),
+          intake_(intake),
           acceptor_(loop),
           retry_(loop),
           sweep_(loop) {}
@@ -186,7 +187,7 @@
             const auto call = call_;
             call_.reset();
             owner_.closed(this);
-            if (call) owner_.core_.leave(*call);
+            if (call) owner_.leave(*call);
             context_.reset();
         }
 
@@ -382,7 +383,7 @@
             core::CallId id = 0;
             call_ = id;
             const auto token = static_cast<std::uint64_t>(reinterpret_cast<std::uintptr_t>(this));
-            const core::Taken taken = owner_.core_.take(std::move(ask.call), owner_, token, &id);
+            const core::Taken taken = owner_.take(std::move(ask.call), token, &id);
             if (taken == core::Taken::yes) {
                 if (call_) call_ = id;  // else it is answered already
                 return;
@@ -434,6 +435,15 @@
         bool closed_ = false;
     };
 
+    core::Taken take(core::Call call, std::uint64_t token, core::CallId* id) {
+        return intake_ ? intake_->take(std::move(call), *this, token, id)
+                       : core_.take(std::move(call), *this, token, id);
+    }
+    void leave(core::CallId call) {
+        if (intake_) return intake_->leave(call);
+        (void)core_.leave(call);
+    }
+
     bool crowded() const { return 2 * connections_.size() > limits_.most; }
 
     template <typename Done>
@@ -607,6 +617,7 @@
     const core::Clock& clock_;
     FrontLimits limits_;
     const MakeChannel tls_;
+    core::Intake* const intake_;  // null: the core itself
     tcp::acceptor acceptor_;
     asio::steady_timer retry_;
     asio::steady_timer sweep_;
@@ -623,8 +634,8 @@
 };
 
 Front::Front(const loop::Executor& loop, core::Core& core, Handler& handler, const core::Clock& clock,
-             FrontLimits limits, MakeChannel tls)
-    : impl_(std::make_shared<Impl>(loop, core, handler, clock, limits, std::move(tls))) {}
+             FrontLimits limits, MakeChannel tls, core::Intake* intake)
+    : impl_(std::make_shared<Impl>(loop, core, handler, clock, limits, std::move(tls), intake)) {}
 Front::~Front() { impl_->stop(); }
 
 void Front::listen(const tcp::endpoint& address) { impl_->listen(address); }
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -13,6 +13,7 @@
 #include <memory>
 
 #include "core/core.h"
+#include "core/intake.h"
 #include "http/handler.h"
 #include "loop/executor.h"
 
@@ -42,9 +43,10 @@
     // For a new connection; null: it is closed.
     using MakeChannel = std::function<std::unique_ptr<Channel>()>;
 
+    // `intake`: takes the calls in the core's place, and outlives it.
     // `tls`: makes what each connection's bytes pass through; empty: nothing does.
     Front(const loop::Executor& loop, core::Core& core, Handler& handler, const core::Clock& clock,
-          FrontLimits limits, MakeChannel tls = {});
+          FrontLimits limits, MakeChannel tls = {}, core::Intake* intake = nullptr);
     ~Front();
     Front(const Front&) = delete;
     Front& operator=(const Front&) = delete;
--- a/src/settings/product.cpp
+++ b/src/settings/product.cpp
@@ -1,6 +1,7 @@
 #include "settings/product.h"
 
 #include "settings/tables/core.h"
+#include "settings/tables/door.h"
 #include "settings/tables/drain.h"
 #include "settings/tables/gateway.h"
 #include "settings/tables/http.h"
@@ -15,8 +16,9 @@
     auto checks = postgres::checks();
     for (auto& each : gateway::checks()) checks.push_back(std::move(each));
     return Schema({http::table(), core::table(), drain::table(), membership::table(), store::table(),
-                   postgres::table(), postgres::server_table(), postgres::database_table(),
-                   postgres::user_table(), gateway::table(), gateway::pool_table(), gateway::route_table()},
+                   door::table(), door::tenant_table(), door::class_table(), postgres::table(),
+                   postgres::server_table(), postgres::database_table(), postgres::user_table(),
+                   gateway::table(), gateway::pool_table(), gateway::route_table()},
                   std::move(checks));
 }
 
--- /dev/null
+++ b/tests/door/doorway_test.cpp
@@ -0,0 +1,164 @@
+// The door between a front and a real core under virtual time: each call one answer in its time, nothing
+// handed over twice, who leaves is taken out, a drain answers all.
+#include "engine/doorway.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/fakes.h"
+#include "settings/product.h"
+#include "settings/reader.h"
+
+namespace flaxdoor::engine::test {
+namespace {
+
+using namespace flaxdoor::core::test;
+using core::Taken;
+
+struct Words final : http::Handler {
+    std::variant<Answer, Ask> on_request(http::Request, const From&) override { return Answer{}; }
+    http::Response on_final(core::Final, http::Asked*) override { return {}; }
+    Answer on_not_taken(core::Taken, http::Asked*) override { return {}; }
+};
+
+settings::Values values(const std::string& text) {
+    return std::get<settings::Values>(settings::read_text(text, settings::product_schema()));
+}
+
+Settings platform() {
+    Settings s = plain_settings();
+    s.tenants = {{"a", 0, 0}, {"b", 0, 0}};
+    s.retry_after = true;
+    s.max_retry_after = ms(500);
+    return s;
+}
+
+struct Behind : Stage {
+    explicit Behind(const std::string& file = "[door]\nmax_waiting = 50\n")
+        : back(make_back()), pool(add(*back, platform())) {
+        fleet(pool, 4);
+        door = std::make_unique<Doorway>(Doorway::World{*core, clock, door_alarm, log, words}, platform(),
+                                         values(file), 7);
+    }
+    ~Behind() override {
+        core->remove_pool(pool);
+        back->gone = true;
+    }
+    Taken come(std::uint64_t token, int tenant = 0, Micros budget = ms(1000), int class_index = 0) {
+        core::Call c = call(pool, class_index, budget);
+        c.payload = std::make_shared<core::test::Ticket>(token);
+        c.name = name_of("c", token);
+        c.tenant = {core::Tenant::Kind::known, tenant};
+        ids[token] = 0;
+        came[token] = clock.at;
+        const Taken taken = door->take(std::move(c), front, token, &ids[token]);
+        return taken;
+    }
+    // Serves both alarms.
+    void go(Micros span) {
+        const Time until = clock.at + span;
+        for (;;) {
+            const Time next = std::min(alarm.due.value_or(Time::max()), door_alarm.due.value_or(Time::max()));
+            if (next > until) break;
+            clock.at = std::max(clock.at, next);
+            if (door_alarm.due && *door_alarm.due <= next) {
+                door_alarm.due.reset();
+                door->on_alarm();
+            } else {
+                alarm.due.reset();
+                core->on_alarm();
+            }
+        }
+        clock.at = until;
+    }
+
+    std::unique_ptr<FakeBack> back;
+    core::PoolId pool;
+    FakeAlarm door_alarm{trip};
+    Words words;
+    std::unique_ptr<Doorway> door;
+    std::map<std::uint64_t, core::CallId> ids;
+    std::map<std::uint64_t, Time> came;
+};
+
+// Calls that are handed over and not sent fill the module's hands; what then waits has lost its wait.
+TEST(Doorway, AWaitShrinksTheBudget) {
+    Behind world;
+    for (std::uint64_t i = 1; i <= 2; ++i) ASSERT_EQ(world.come(i), Taken::yes);
+    world.go(ms(10));
+    ASSERT_EQ(world.come(3), Taken::yes);
+    EXPECT_EQ(world.core->figures().taken, 2u) << "it waits";
+    EXPECT_EQ(world.door->figures().waiting, 1u);
+    world.go(ms(200));
+    world.back->answer(world.back->sent.front().key);
+    EXPECT_EQ(world.core->figures().taken, 3u);
+    EXPECT_LE(world.back->sent.back().expires, world.came[3] + ms(1000));
+    world.back->answer(world.back->sent.back().key);
+    EXPECT_EQ(world.front.finals(3), 1u);
+}
+
+TEST(Doorway, ANameThatWaitsIsOpen) {
+    Behind world;
+    for (std::uint64_t i = 1; i <= 2; ++i) ASSERT_EQ(world.come(i), Taken::yes);
+    world.go(ms(10));
+    ASSERT_EQ(world.come(3), Taken::yes);
+    core::Call again = world.call(world.pool, 0);
+    again.name = "c3";
+    EXPECT_EQ(world.door->take(again, world.front, 99, nullptr), Taken::name_open);
+    world.door->leave(world.ids[3]);
+    EXPECT_EQ(world.door->figures().waiting, 0u);
+    EXPECT_EQ(world.come(3), Taken::yes) << "it has gone, and may come again";
+}
+
+TEST(Doorway, RandomWorlds) {
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937 random(seed);
+        Behind world(seed % 2 ? "[door]\nmax_waiting = 20\nclient_rate = 50\nclient_burst = 20\n"
+                              : "[door]\nmax_waiting = 200\nhead_start = \"50ms\"\n"
+                                "[[door_tenant]]\nname = \"b\"\nweight = 4\nmax_open = 30\n");
+        std::set<std::uint64_t> left;
+        std::uint64_t token = 0;
+        for (int step = 0; step < 400; ++step) {
+            const auto dice = random() % 10;
+            if (dice < 5) {
+                ++token;
+                const Taken taken = world.come(token, static_cast<int>(random() % 3), ms(50 + random() % 900),
+                                               static_cast<int>(random() % 3));
+                ASSERT_EQ(taken, Taken::yes);
+            } else if (dice < 8 && !world.back->out.empty()) {
+                auto at = world.back->out.begin();
+                std::advance(at, random() % world.back->out.size());
+                const core::AttemptKey key = *at;
+                if (random() % 3 == 0) {
+                    world.back->begin(key);
+                } else {
+                    world.back->answer(key, random() % 5 ? Outcome::ok : Outcome::error);
+                }
+            } else if (dice == 8 && token > 0) {
+                const std::uint64_t gone = 1 + random() % token;
+                if (world.front.finals(gone) == 0 && left.insert(gone).second)
+                    world.door->leave(world.ids[gone]);
+            }
+            if (step == 300) world.door->begin_drain();
+            world.go(ms(random() % 12));
+        }
+        world.go(ms(5));
+        if (seed % 3 == 0) world.door->stop();
+        world.go(ms(2000));
+        EXPECT_EQ(world.door->figures().waiting, 0u);
+        EXPECT_EQ(world.door->figures().in_flight, 0u);
+        for (std::uint64_t i = 1; i <= token; ++i) {
+            ASSERT_EQ(world.front.finals(i), left.contains(i) ? 0u : 1u) << i;
+        }
+        for (const auto& told : world.front.told) {
+            EXPECT_LE(told.at, world.came[told.token] + ms(950));
+            EXPECT_LE(told.answer.retry_after, ms(500)) << "never beyond what clients heed";
+        }
+        EXPECT_LE(world.core->figures().taken, token) << "none was handed over twice";
+    }
+}
+
+}  // namespace
+}  // namespace flaxdoor::engine::test
