--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -251,6 +251,8 @@
             sides_.push_back(maker.make({executor_, core_, clock_, log_, operators_, config_.seed}));
         }
         // Guards against a table that is thought to do something and does not.
+        if (operators_.given("door") && !doorway_)
+            throw std::invalid_argument("[door] is served by the daemon only");
         for (const char* const table : {"postgres", "gateway"}) {
             const bool served =
                 std::any_of(makers.begin(), makers.end(), [&](const auto& m) { return m.table == table; });
