--- a/src/apps/flaxdoor.cpp
+++ b/src/apps/flaxdoor.cpp
@@ -138,7 +138,8 @@
 }
 
 constexpr Command commands[] = {
-    add_check, add_settings, flaxdoor::apps::add_door, flaxdoor::apps::add_routes, flaxdoor::apps::add_store, add_lab, add_version};
+    add_check, add_settings, flaxdoor::apps::add_door, flaxdoor::apps::add_routes, flaxdoor::apps::add_store,
+    add_lab,   add_version};
 
 }  // namespace
 
