--- a/src/log/events.h
+++ b/src/log/events.h
@@ -76,6 +76,10 @@
           "servers");
 inline constexpr auto store_trouble = event("store.trouble", Level::warning, "store: {what}", "what");
 
+// -------------------------------------------------------------------------------------------- the door
+
+inline constexpr auto door_terms = event("door.terms", Level::warning, "door: {what}", "what");
+
 // ----------------------------------------------------------------------------------------- the gateway
 
 inline constexpr auto gateway_listening = event(
@@ -121,7 +125,7 @@
     event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
 
 // The table: each of them once.
-inline constexpr std::array<const core::Event*, 49> all{&core::events::from_module,
+inline constexpr std::array<const core::Event*, 50> all{&core::events::from_module,
                                                         &core::events::fault,
                                                         &not_started,
                                                         &listening,
@@ -151,6 +155,7 @@
                                                         &store_empty,
                                                         &store_too_large,
                                                         &store_trouble,
+                                                        &door_terms,
                                                         &gateway_listening,
                                                         &gateway_port_failed,
                                                         &gateway_port_closed,
