Tests: lists of one in JSON are named as lists, for both compilers

Cause: json x = {one} is a list of one for g++ and a copy of the one for clang++, so four tests of the black-box suite and of the daemon over two starts meant different things by compiler. Change: json::array({one}) at these four places (discovery, faults, two in the daemon's starts).

--- a/tests/recovery/daemon_test.cpp
+++ b/tests/recovery/daemon_test.cpp
@@ -60,7 +60,7 @@
 
 // A configuration that knows upstream 0 only, and a list that knows 1 and 2 only.
 void first_start(Stage& s, const Kept& kept, int version = 9) {
-    s.config["known"]["hosts"] = {s.upstream(0)};
+    s.config["known"]["hosts"] = json::array({s.upstream(0)});
     s.operators = kept.operators();
     s.start();
     json news = s.list(version, true);
@@ -111,7 +111,7 @@
     const auto watch = asked(s, 2);
     EXPECT_TRUE(has(watch->in, "index=9 ")) << watch->in;
     json news = s.list(10, false);
-    news["hosts"] = {s.upstream(2)};
+    news["hosts"] = json::array({s.upstream(2)});
     watch->say(watch_head + chunk(news.dump() + "\n"));
     s.until([&] { return kept.holds("\"version\":10}"); });
     s.discovery.close();
--- a/tests/suite/discovery_test.cpp
+++ b/tests/suite/discovery_test.cpp
@@ -127,7 +127,7 @@
         const auto idle = s.send(*client, s.look(5000, "kept"));
         const auto busy = s.send(*other, s.look(5000, "under-way"));
         s.pass(*idle, *client);
-        json hosts = {Stage::entry(now.name, s.upstreams[now.address]->address())};
+        json hosts = json::array({Stage::entry(now.name, s.upstreams[now.address]->address())});
         if (now.left) hosts.push_back(s.upstream(0, "left"));
         watch->say(watch_head + Stage::news(9, now.whole, hosts));
         s.until([&] { return idle->ended; });
--- a/tests/suite/faults_test.cpp
+++ b/tests/suite/faults_test.cpp
@@ -53,7 +53,7 @@
     stuck.listen(0);
     tcp::socket filler(s.loop);
     filler.connect(stuck.local_endpoint());
-    s.config["known"]["hosts"] = {Stage::entry("s-stuck", stuck.local_endpoint())};
+    s.config["known"]["hosts"] = json::array({Stage::entry("s-stuck", stuck.local_endpoint())});
     s.config["settings"]["invariants"]["drain_grace"] = 50.0;
     s.start();
     const auto watch = s.watch();
