--- a/lab/explore/explore.cpp
+++ b/lab/explore/explore.cpp
@@ -60,7 +60,13 @@
     world.watch(&histories);
     while (world.step()) {
     }
-    return {judge.finish(), std::move(path.counts), std::move(path.states), world.figures().happenings};
+    const WorldFigures figures = world.figures();
+    Findings findings = judge.finish();
+    if (figures.cores.faults > 0) {
+        findings.add({Rule::trace, world.now_us(), 0, std::nullopt, std::nullopt,
+                      "the cores told of " + std::to_string(figures.cores.faults) + " faults"});
+    }
+    return {std::move(findings), std::move(path.counts), std::move(path.states), figures.happenings};
 }
 
 }  // namespace
--- a/lab/fleet/balancers.h
+++ b/lab/fleet/balancers.h
@@ -62,8 +62,9 @@
 
     // The roster's.
     void list(std::uint32_t balancer, std::uint32_t pool, core::MemberList list);
-    std::size_t open() const;       // calls of all
-    core::Figures figures() const;  // summed over the processes that run
+    std::size_t open() const;  // calls of all
+    // Summed over the processes that run; faults over all that ever did.
+    core::Figures figures() const;
 
 private:
     class Process;
@@ -78,6 +79,7 @@
     Parts& parts_;
     std::vector<Balancer> balancers_;
     std::uint64_t alarms_ = 0;
+    std::uint64_t faults_ = 0;  // that cores which have gone told of
     friend class Process;
 };
 
--- a/lab/hunt/hunt.cpp
+++ b/lab/hunt/hunt.cpp
@@ -1,6 +1,8 @@
 #include "hunt/hunt.h"
 
 #include <algorithm>
+#include <exception>
+#include <mutex>
 #include <thread>
 
 #include "experiment/keys.h"
@@ -24,6 +26,9 @@
         all.push_back("rule on " + std::string(text_of(each.rule)) + ": " + each.what);
         if (all.size() >= 5) break;
     }
+    // A guard of the core held what the module would have broken.
+    if (cell->figures.faults > 0)
+        all.push_back("fault of a core: " + std::to_string(cell->figures.faults) + " times");
     for (const Met& each : cell->met) {
         if (!each.met) all.push_back("not met: " + each.expectation + "; found " + each.found);
     }
@@ -123,12 +128,20 @@
 std::optional<std::size_t> first_that(std::size_t count, unsigned threads, const std::atomic<bool>* stop,
                                       Shows shows) {
     std::atomic<std::size_t> next{0}, found{count};
+    std::mutex mutex;
+    std::exception_ptr failure;
     const auto work = [&] {
-        for (std::size_t i = next++; i < count && i < found; i = next++) {
-            if (stop && stop->load()) return;
-            if (!shows(i)) continue;
-            for (std::size_t best = found; i < best && !found.compare_exchange_weak(best, i);) {
+        try {
+            for (std::size_t i = next++; i < count && i < found; i = next++) {
+                if (stop && stop->load()) return;
+                if (!shows(i)) continue;
+                for (std::size_t best = found; i < best && !found.compare_exchange_weak(best, i);) {
+                }
             }
+        } catch (...) {
+            const std::lock_guard lock(mutex);
+            if (!failure) failure = std::current_exception();
+            next = count;
         }
     };
     {
@@ -136,6 +149,7 @@
         for (unsigned t = 1; t < threads; ++t) others.emplace_back(work);
         work();
     }
+    if (failure) std::rethrow_exception(failure);
     return found < count ? std::optional<std::size_t>(found) : std::nullopt;
 }
 
--- a/lab/run/figures.h
+++ b/lab/run/figures.h
@@ -11,6 +11,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "standins/latencies.h"
@@ -39,6 +40,7 @@
     std::vector<standins::Latencies> latency;      // by class, of served calls
     standins::Latencies latency_all;
     std::uint64_t tries = 0, attempts = 0, connections_lost = 0, falls = 0, restarts = 0;
+    std::uint64_t faults = 0;   // that cores told of; of a sound program there are none
     std::uint64_t settles = 0;  // seconds that are not counted in sums
 
     Tally sum() const;  // from `settles` on
@@ -72,7 +74,8 @@
     std::unordered_map<std::uint64_t, Call> calls_;                 // by first try
     std::unordered_map<std::uint64_t, std::uint64_t> repeats_;      // a later try to its first
     std::deque<std::pair<std::uint64_t, std::uint64_t>> in_order_;  // asked at, first try
-    std::int64_t open_ = 0;
+    std::unordered_set<std::uint64_t> open_;                        // tries that a balancer holds
+    void open_now(std::uint64_t at);
 };
 
 nlohmann::json to_json(const Figures& figures, const Terms& terms);
