--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -15,6 +15,7 @@
 #include <optional>
 
 #include "core/core.h"
+#include "door/door.h"
 #include "engine/config.h"
 #include "engine/side.h"
 #include "loop/executor.h"
@@ -36,6 +37,8 @@
     store::Store::OpenFolder open_folder = store::open_folder;
     // Further fronts, each turned on by its table of the operator's file.
     std::vector<SideMaker> sides{};
+    // Told what counts of the operator's file, at the start and after each reload that is taken.
+    std::function<void(const settings::Values&)> on_operators{};
 };
 
 class Engine {
@@ -64,8 +67,9 @@
     bool drained() const;
 
     core::Figures figures() const;
-    std::size_t servers() const;      // that the pool lists
-    std::size_t connections() const;  // to servers and from clients
+    std::optional<door::Figures> door() const;  // with [door]
+    std::size_t servers() const;                // that the pool lists
+    std::size_t connections() const;            // to servers and from clients
 
 private:
     class Impl;
--- a/src/settings/product.cpp
+++ b/src/settings/product.cpp
@@ -1,9 +1,11 @@
 #include "settings/product.h"
 
 #include "settings/tables/core.h"
+#include "settings/tables/door.h"
 #include "settings/tables/drain.h"
 #include "settings/tables/gateway.h"
 #include "settings/tables/http.h"
+#include "settings/tables/log.h"
 #include "settings/tables/membership.h"
 #include "settings/tables/postgres.h"
 #include "settings/tables/store.h"
@@ -14,7 +16,8 @@
 Schema product_schema() {
     auto checks = postgres::checks();
     for (auto& each : gateway::checks()) checks.push_back(std::move(each));
-    return Schema({http::table(), core::table(), drain::table(), membership::table(), store::table(),
+    return Schema({http::table(), core::table(), drain::table(), log::table(), membership::table(),
+                   store::table(), door::table(), door::tenant_table(), door::class_table(),
                    postgres::table(), postgres::server_table(), postgres::database_table(),
                    postgres::user_table(), gateway::table(), gateway::pool_table(), gateway::route_table()},
                   std::move(checks));
