Door: its gate apart from HTTP

Need: the lab's balancers have no HTTP, and are to have the door too. Change: door/gate is the intake ahead of a core; engine/doorway reads who asks and words the token; a drain logs a line for each tenant.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -135,15 +135,14 @@
         if (options.listens) {
             handler_ = std::make_unique<http::PlatformHandler>(core_, pool_);
             if (operators_.given("door")) {
-                doorway_ =
-                    std::make_unique<Doorway>(Doorway::World{core_, clock_, door_alarm_, log_, *handler_},
-                                              config_.settings, operators_, config_.seed);
-                door_alarm_.on_due([this] { doorway_->on_alarm(); });
+                doorway_ = std::make_unique<Doorway>(door::Gate::World{core_, clock_, door_alarm_}, log_,
+                                                     *handler_, config_.settings, operators_, config_.seed);
+                door_alarm_.on_due([this] { doorway_->gate().on_alarm(); });
             }
             http::Handler& handler = doorway_ ? static_cast<http::Handler&>(*doorway_) : *handler_;
-            front_ = std::make_unique<http::Front>(executor, core_, handler, clock_,
-                                                   front_limits(operators_, sockets_, for_clients_),
-                                                   http::Front::MakeChannel{}, doorway_.get());
+            front_ = std::make_unique<http::Front>(
+                executor, core_, handler, clock_, front_limits(operators_, sockets_, for_clients_),
+                http::Front::MakeChannel{}, doorway_ ? &doorway_->gate() : nullptr);
         }
         begin_sides(options.sides);
         use_operators();
@@ -218,7 +217,7 @@
         for (const auto& side : sides_) longest = std::max(longest, side->longest_deadline());
         const Micros keep_accepting = front_ ? keep_accepting_ : keep_taking_;
         if (front_) front_->begin_drain();
-        if (doorway_) doorway_->begin_drain();
+        if (doorway_) doorway_->gate().begin_drain();
         for (const auto& side : sides_) side->begin_drain();
         drain_end_ = clock_.now() + keep_accepting + longest + end_slack_;
         wind_down_after(keep_accepting);
@@ -227,7 +226,7 @@
     bool drained() const { return drained_; }
     core::Figures figures() const { return core_.figures(); }
     std::optional<door::Figures> door() const {
-        return doorway_ ? std::optional(doorway_->figures()) : std::nullopt;
+        return doorway_ ? std::optional(doorway_->gate().figures()) : std::nullopt;
     }
     std::size_t servers() const { return back_.known(); }
     std::size_t connections() const { return budget_.open + (front_ ? front_->figures().connections : 0); }
@@ -278,7 +277,10 @@
         log_.line("drained");
         if (roster_) roster_->stop();
         core_.close();
-        if (doorway_) doorway_->stop();
+        if (doorway_) {
+            doorway_->gate().stop();
+            doorway_->tell();
+        }
         // What was learned is asked for while the pool is there.
         const auto end = [this] {
             if (on_drained_) on_drained_();
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -8,7 +8,7 @@
     case $1 in
         policy) echo "" ;;
         core) echo "" ;;
-        door) echo "" ;;
+        door) echo "core" ;;
         loop) echo "core" ;;
         http) echo "core loop" ;;
         text) echo "" ;;
--- a/tests/door/doorway_test.cpp
+++ b/tests/door/gate_test.cpp
@@ -1,12 +1,13 @@
 // The door between a front and a real core under virtual time: each call one answer in its time, nothing
 // handed over twice, who leaves is taken out, a drain answers all.
-#include "engine/doorway.h"
+#include "door/gate.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
 #include "core/fakes.h"
+#include "engine/door_terms.h"
 #include "settings/product.h"
 #include "settings/reader.h"
 
@@ -16,12 +17,6 @@
 using namespace flaxdoor::core::test;
 using core::Taken;
 
-struct Words final : http::Handler {
-    std::variant<Answer, Ask> on_request(http::Request, const From&) override { return Answer{}; }
-    http::Response on_final(core::Final, http::Asked*) override { return {}; }
-    Answer on_not_taken(core::Taken, http::Asked*) override { return {}; }
-};
-
 settings::Values values(const std::string& text) {
     return std::get<settings::Values>(settings::read_text(text, settings::product_schema()));
 }
@@ -38,8 +33,10 @@
     explicit Behind(const std::string& file = "[door]\nmax_waiting = 50\n")
         : back(make_back()), pool(add(*back, platform())) {
         fleet(pool, 4);
-        door = std::make_unique<Doorway>(Doorway::World{*core, clock, door_alarm, log, words}, platform(),
-                                         values(file), 7);
+        door = std::make_unique<door::Gate>(door::Gate::World{*core, clock, door_alarm},
+                                            door_terms(platform(), values(file), [](const auto&) {}),
+                                            door::Gate::Options{true, seconds(30), false}, 7,
+                                            door::Tokens::Secret{});
     }
     ~Behind() override {
         core->remove_pool(pool);
@@ -76,14 +73,13 @@
     std::unique_ptr<FakeBack> back;
     core::PoolId pool;
     FakeAlarm door_alarm{trip};
-    Words words;
-    std::unique_ptr<Doorway> door;
+    std::unique_ptr<door::Gate> door;
     std::map<std::uint64_t, core::CallId> ids;
     std::map<std::uint64_t, Time> came;
 };
 
 // Calls that are handed over and not sent fill the module's hands; what then waits has lost its wait.
-TEST(Doorway, AWaitShrinksTheBudget) {
+TEST(Gate, AWaitShrinksTheBudget) {
     Behind world;
     for (std::uint64_t i = 1; i <= 2; ++i) ASSERT_EQ(world.come(i), Taken::yes);
     world.go(ms(10));
@@ -98,7 +94,7 @@
     EXPECT_EQ(world.front.finals(3), 1u);
 }
 
-TEST(Doorway, ANameThatWaitsIsOpen) {
+TEST(Gate, ANameThatWaitsIsOpen) {
     Behind world;
     for (std::uint64_t i = 1; i <= 2; ++i) ASSERT_EQ(world.come(i), Taken::yes);
     world.go(ms(10));
@@ -111,7 +107,7 @@
     EXPECT_EQ(world.come(3), Taken::yes) << "it has gone, and may come again";
 }
 
-TEST(Doorway, RandomWorlds) {
+TEST(Gate, RandomWorlds) {
     for (std::uint32_t seed = 1; seed <= 40; ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         std::mt19937 random(seed);
