--- a/tests/door/door_test.cpp
+++ b/tests/door/door_test.cpp
@@ -10,6 +10,8 @@
 #include <new>
 #include <stdexcept>
 
+#include "door/explain.h"
+
 namespace {
 std::size_t live_bytes = 0, allocations = 0;
 }
@@ -297,6 +299,37 @@
         << "hundredths of allocations a request";
 }
 
+TEST(Explain, BrokenScriptsAreNamedByTheirLine) {
+    const struct {
+        const char* text;
+        std::size_t line;
+        const char* mend;
+    } cases[] = {
+        {"servers x\nload tenant=a rate=1", 1, "write servers 8"},
+        {"\nslow 2 from 3s\nload tenant=a rate=1", 2, "write slow 2 from 3s to 8s"},
+        {"load rate=1", 1, "add tenant=NAME"},
+        {"load tenant=a", 1, "add rate=100"},
+        {"load tenant=a rate=-1", 1, "write rate=100"},
+        {"load tenant=a rate=1 deadline=5", 1, "write deadline=10ms, or 2s"},
+        {"load tenant=a rate=1 from=3s to=2s", 1, "make to later than from"},
+        {"laod tenant=a", 1, "write seed, servers, slow or load"},
+        {"# nothing\n", 1, "add a line: load tenant=NAME rate=100"},
+        {"load tenant=a rate=1000000", 1, "lower the rates, or the spans"},
+    };
+    for (const auto& each : cases) {
+        const auto read = read_script(each.text);
+        const auto* const faults = std::get_if<std::vector<ScriptFault>>(&read);
+        ASSERT_TRUE(faults) << each.text;
+        EXPECT_EQ(faults->front().line, each.line) << each.text;
+        EXPECT_EQ(faults->front().mend, each.mend);
+    }
+    const auto good =
+        read_script("servers 2\nload tenant=a rate=400 to=2s\nload tenant=x rate=50 to=2s # unknown");
+    const std::string told = explain(plain(), std::get<Script>(good));
+    EXPECT_NE(told.find("gave_way"), std::string::npos) << told;
+    EXPECT_NE(told.find("others"), std::string::npos);
+}
+
 TEST(Token, ForgedOldForeignAndOfAnotherCountAsNone) {
     Rig rig(plain());
     rig.fill();
