--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -44,6 +44,7 @@
     std::vector<Zone> zones{{"one", 1, 1}};
     Micros front_notices{2000000};  // the layer before the balancers sends to a dead one for so long
     bool knows_start = true;        // balancers begin with the list of the beginning; else with none
+    bool door = false;              // requests wait at the door
 };
 
 struct ServerModel {
--- a/lab/experiment/keys.h
+++ b/lab/experiment/keys.h
@@ -174,6 +174,11 @@
      .takes = settings::Takes::restart,
      .meaning = "Whether a balancer starts with the list of the beginning; else with none."}};
 
+inline constexpr Key<bool> door{{.table = "fleet",
+                                 .name = "door",
+                                 .fallback = false,
+                                 .meaning = "Whether requests wait at the door, fair by tenant and client."}};
+
 }  // namespace fleet
 
 namespace zone {
--- a/lab/experiment/plan.cpp
+++ b/lab/experiment/plan.cpp
@@ -396,7 +396,7 @@
                       k::real::share_within, k::real::p50_within, k::real::p99_within, k::real::span_within}},
         {.name = "fleet",
          .meaning = "The balancers.",
-         .settings = {k::fleet::balancers, k::fleet::front_notices, k::fleet::knows_start}},
+         .settings = {k::fleet::balancers, k::fleet::front_notices, k::fleet::knows_start, k::fleet::door}},
         {.name = "zone",
          .kind = Kind::many,
          .meaning = "Where things stand; without a row there is one zone.",
@@ -557,6 +557,7 @@
     e.fleet.balancers = whole(k::fleet::balancers);
     e.fleet.front_notices = values.get(k::fleet::front_notices);
     e.fleet.knows_start = values.get(k::fleet::knows_start);
+    e.fleet.door = values.get(k::fleet::door);
     if (!values.rows("zone").empty()) e.fleet.zones.clear();
     for (const Row& row : values.rows("zone")) {
         e.fleet.zones.push_back(
--- a/lab/fleet/balancers.cpp
+++ b/lab/fleet/balancers.cpp
@@ -1,5 +1,6 @@
 #include "fleet/balancers.h"
 
+#include "door/gate.h"
 #include "fleet/clients.h"
 #include "fleet/network.h"
 #include "fleet/roster.h"
@@ -67,6 +68,17 @@
     return s;
 }
 
+// As engine/door_terms makes them of a platform that tells shares.
+door::Terms door_terms(const Settings& settings) {
+    door::Terms terms;
+    for (const auto& each : settings.tenants)
+        terms.tenants.push_back({each.name, each.fraction > 0 ? each.fraction * 100 : 1, {}});
+    for (const auto& each : settings.classes)
+        terms.classes.push_back({each.name, each.worth, each.aim / 4, {}});
+    if (settings.max_retry_after > Micros{}) terms.book.longest = settings.max_retry_after;
+    return terms;
+}
+
 // One process: it lives from its start until it is killed or ends.
 class Balancers::Process final : public core::Clock,
                                  public core::Alarm,
@@ -82,6 +94,13 @@
           core_(*this, *this, *this, options()) {
         Stream stream(parts_.seed(), Whose::balancer, number, its_.process);
         add_pool(0, settings_for(parts_.experiment, number, its_.zone), stream());
+        if (parts_.experiment.fleet.door) {
+            const Settings settings = settings_for(parts_.experiment, number, its_.zone);
+            gate_ = std::make_unique<door::Gate>(
+                door::Gate::World{core_, *this, gate_alarm_}, door_terms(settings),
+                door::Gate::Options{settings.retry_after, std::chrono::seconds(30), false}, stream(),
+                door::Tokens::Secret{});
+        }
         if (parts_.experiment.postgres.rate > 0) {
             add_pool(1, postgres_settings_for(parts_.experiment, number, its_.zone), stream());
         }
@@ -112,6 +131,7 @@
 
     void on_alarm(std::uint64_t which) {
         if (which == alarm_) core_.on_alarm();
+        if (which == gate_alarm_.number) gate_->on_alarm();
     }
 
     // -------------------------------------------------------------------------------------------- clients
@@ -132,10 +152,16 @@
         call.payload = std::make_shared<Handle>(handle);
         parts_.note(Event::taken, number_, from.client, from.call);
         core::CallId id = 0;
-        held_.emplace(handle, 0);
-        const core::Taken taken = core_.take(std::move(call), *this, handle, &id);
+        held_.emplace(handle, HeldCall{0, gate_ && !unit});
+        core::Taken taken = core::Taken::yes;
+        if (gate_ && !unit) {
+            gate_->asked_by(std::to_string(from.client), {}, 500);
+            taken = gate_->take(std::move(call), *this, handle, &id);
+        } else {
+            taken = core_.take(std::move(call), *this, handle, &id);
+        }
         if (taken == core::Taken::yes) {
-            if (const auto found = held_.find(handle); found != held_.end()) found->second = id;
+            if (const auto found = held_.find(handle); found != held_.end()) found->second.id = id;
         } else {
             // The front words what the core did not take: a repeat is harmless.
             final_answer(handle, {Verdict::refused, Micros{0}});
@@ -146,9 +172,13 @@
     void left(std::uint64_t handle) {
         const auto found = held_.find(handle);
         if (found == held_.end()) return;
-        const core::CallId id = found->second;
+        const HeldCall call = found->second;
         held_.erase(found);
-        (void)core_.leave(id);
+        if (call.at_gate) {
+            gate_->leave(call.id);
+        } else {
+            (void)core_.leave(call.id);
+        }
         end_if_done();
     }
 
@@ -204,6 +234,7 @@
 
     void close() {
         closed_ = true;
+        if (gate_) gate_->begin_drain();
         core_.close();
         end_if_done();
     }
@@ -450,9 +481,23 @@
     const std::uint32_t process_;
     std::uint64_t alarm_ = 0;
     bool closed_ = false;
-    std::map<std::uint64_t, core::CallId> held_;  // tries that have no answer yet
+    struct HeldCall {
+        core::CallId id = 0;
+        bool at_gate = false;  // the id is the gate's
+    };
+    std::map<std::uint64_t, HeldCall> held_;  // tries that have no answer yet
     std::unique_ptr<Side> sides_[2];
-    core::Core core_;  // goes first
+    core::Core core_;  // goes first but for the gate
+    struct GateAlarm final : core::Alarm {
+        explicit GateAlarm(Process& its) : process(its) {}
+        void set(Time at) override {
+            number = ++process.owner_.alarms_;
+            process.parts_.scheduler.set(at, What::alarm, process.number_, number);
+        }
+        Process& process;
+        std::uint64_t number = 0;
+    } gate_alarm_{*this};
+    std::unique_ptr<door::Gate> gate_;  // with fleet.door
 };
 
 Balancers::Balancers(Parts& parts) : parts_(parts) {
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -40,7 +40,7 @@
         judge) echo "trace" ;;
         experiment) echo "flaxdoor settings" ;;
         experiments) echo "" ;;  # files, no code
-        fleet) echo "core experiment flaxdoor random trace" ;;
+        fleet) echo "core door experiment flaxdoor random trace" ;;
         run) echo "experiment fleet judge standins trace" ;;
         report) echo "run trace" ;;
         hunt) echo "experiment random run settings" ;;
