--- a/src/engine/doorway.cpp
+++ b/src/engine/doorway.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "engine/door_terms.h"
+#include "log/events.h"
 #include "settings/tables/core.h"
 #include "settings/tables/door.h"
 
@@ -41,7 +42,8 @@
       gate_(world, terms_of(settings, operators), options_of(settings, operators), seed, new_secret()) {}
 
 door::Terms Doorway::terms_of(const Settings& settings, const settings::Values& operators) const {
-    return door_terms(settings, operators, [this](const std::string& line) { log_.line(line); });
+    return door_terms(settings, operators,
+                      [this](const std::string& what) { log_.tell(log::events::door_terms, what); });
 }
 
 void Doorway::change(const Settings& settings, const settings::Values& operators) {
@@ -53,17 +55,18 @@
     const door::Figures all = gate_.figures();
     for (const auto& each : all.tenants) {
         if (each.came == 0) continue;
-        std::string line = "door: tenant " + each.name + ": came " + std::to_string(each.came) + ", handed " +
-                           std::to_string(each.handed) + ", left " + std::to_string(each.left) +
-                           ", waiting " + std::to_string(each.waiting);
+        std::string line = "came " + std::to_string(each.came) + ", handed " + std::to_string(each.handed) +
+                           ", left " + std::to_string(each.left) + ", waiting " +
+                           std::to_string(each.waiting);
         for (std::size_t i = 0; i < door::reasons; ++i) {
             if (each.refused[i] > 0)
                 line += std::string(", ") + door::text_of(static_cast<door::Reason>(i)) + " " +
                         std::to_string(each.refused[i]);
         }
-        log_.line(line + ", promised " + std::to_string(each.promised) + ", returned " +
-                  std::to_string(each.returned) + ", without a token that counts " +
-                  std::to_string(each.unheeded));
+        log_.tell(log::events::door_tenant, each.name,
+                  line + ", promised " + std::to_string(each.promised) + ", returned " +
+                      std::to_string(each.returned) + ", without a token that counts " +
+                      std::to_string(each.unheeded));
     }
 }
 
