--- a/src/log/events.h
+++ b/src/log/events.h
@@ -127,7 +127,7 @@
     event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
 
 // The table: each of them once.
-inline constexpr std::array<const core::Event*, 50> all{&core::events::from_module,
+inline constexpr std::array<const core::Event*, 51> all{&core::events::from_module,
                                                         &core::events::fault,
                                                         &not_started,
                                                         &listening,
