--- a/src/engine/door_terms.cpp
+++ b/src/engine/door_terms.cpp
@@ -23,7 +23,7 @@
     for (const auto& each : settings.tenants)
         terms.tenants.push_back({each.name, each.fraction > 0 ? each.fraction * 100 : 1, {}});
     if (terms.tenants.size() > 256) {
-        log("door: more than 256 tenants; the rest share one place");
+        log("more than 256 tenants; the rest share one place");
         terms.tenants.resize(256);
     }
     terms.others = {"others", table.get(keys::others_weight), {}};
@@ -32,7 +32,7 @@
         const auto its = std::find_if(terms.tenants.begin(), terms.tenants.end(),
                                       [&](const auto& each) { return each.name == name; });
         if (its == terms.tenants.end()) {
-            log("door: the platform names no tenant " + name);
+            log("the platform names no tenant " + name);
             continue;
         }
         its->weight = row.get(keys::tenant_weight);
@@ -46,7 +46,7 @@
         const auto its = std::find_if(terms.classes.begin(), terms.classes.end(),
                                       [&](const auto& each) { return each.name == name; });
         if (its == terms.classes.end()) {
-            log("door: the platform names no class " + name);
+            log("the platform names no class " + name);
             continue;
         }
         its->limits =
--- a/src/engine/doorway.cpp
+++ b/src/engine/doorway.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "engine/door_terms.h"
+#include "log/events.h"
 #include "settings/tables/core.h"
 #include "settings/tables/door.h"
 
@@ -44,7 +45,8 @@
     own_limit_ = operators.get(settings::core::default_deadline);
     by_ = static_cast<By>(table.get(keys::client));
     client_header_ = table.get(keys::client_header).value_or("");
-    return door_terms(settings, operators, [this](const std::string& line) { world_.log.line(line); });
+    return door_terms(settings, operators,
+                      [this](const std::string& what) { world_.log.tell(log::events::door_terms, what); });
 }
 
 void Doorway::begin_drain() { door_->drain(); }
