--- a/src/log/events.h
+++ b/src/log/events.h
@@ -79,6 +79,8 @@
 // -------------------------------------------------------------------------------------------- the door
 
 inline constexpr auto door_terms = event("door.terms", Level::warning, "door: {what}", "what");
+inline constexpr auto door_tenant =
+    event("door.tenant", Level::info, "door: tenant {tenant}: {figures}", "tenant", "figures");
 
 // ----------------------------------------------------------------------------------------- the gateway
 
@@ -125,7 +127,7 @@
     event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
 
 // The table: each of them once.
-inline constexpr std::array<const core::Event*, 50> all{&core::events::from_module,
+inline constexpr std::array<const core::Event*, 51> all{&core::events::from_module,
                                                         &core::events::fault,
                                                         &not_started,
                                                         &listening,
@@ -156,6 +158,7 @@
                                                         &store_too_large,
                                                         &store_trouble,
                                                         &door_terms,
+                                                        &door_tenant,
                                                         &gateway_listening,
                                                         &gateway_port_failed,
                                                         &gateway_port_closed,
