--- a/lab/experiment/plan.cpp
+++ b/lab/experiment/plan.cpp
@@ -76,6 +76,13 @@
                      "lower the one or raise the other"};
 }
 
+// Else nothing would be counted, and whatever is expected would be met.
+std::optional<Objection> settles_first(const Row& row) {
+    if (row.get(keys::experiment::settles) < row.get(keys::experiment::lasts)) return std::nullopt;
+    return Objection{"nothing is counted: settles is no shorter than lasts",
+                     "shorten settles, as to \"0s\", or lengthen lasts"};
+}
+
 std::optional<Objection> pareto_mean(const Row& row) {
     if (row.get(keys::of_class::law) != Law::pareto || row.get(keys::of_class::spread) > 1)
         return std::nullopt;
@@ -389,7 +396,8 @@
          .meaning = "What is asked, and how often it is played.",
          .settings = {k::experiment::name, k::experiment::question, k::experiment::lasts,
                       k::experiment::settles, k::experiment::first_seed, k::experiment::seeds,
-                      k::experiment::grid, k::experiment::real}},
+                      k::experiment::grid, k::experiment::real},
+         .checks = {{{"settles", "lasts"}, "settles is below lasts.", settles_first}}},
         {.name = "real",
          .meaning = "The part that real processes play, where experiment.real is set.",
          .settings = {k::real::balancers, k::real::servers, k::real::lasts, k::real::rate_share,
