Lab: the place of a settling that is too long is the key that makes it so

Cause: the case wanted the table's line; the reader tells that of the key. Change: the case. Result: Files, Run.GoesOn and World.Keeps pass with clang -O0 under sanitizers.

--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -387,7 +387,7 @@
                 "[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\",\"9\",\"10\",\"11\"]\n",
                 6, "worlds", "fewer"},
         BadFile{"NothingCounted", "[experiment]\nname = \"x\"\nlasts = \"2s\"\n[[class]]\nname = \"look\"\n",
-                1, "nothing is counted", "0s"},
+                3, "nothing is counted", "0s"},
         BadFile{"NoClass", "[experiment]\nname = \"x\"\n", 0, "class", "[[class]]"},
         BadFile{"NoExperiment", "[fleet]\nbalancers = 3\n", 0, "experiment", "[experiment]"},
         BadFile{"NoPrimary", small("[[trouble]]\nname = \"t\"\nkind = \"primary_lost\"\n"), 5, "primary",
