Lab: real mode refuses a fleet with a door

The door came to the emulated fleet meanwhile; the daemons that real mode starts have none, so the two sides would have been of different worlds. Refused with line and mend; a row of the test's table.

--- a/lab/experiment/plan.cpp
+++ b/lab/experiment/plan.cpp
@@ -174,6 +174,8 @@
     };
     if (values.get(keys::experiment::grid) > Micros{0})
         return against("experiment", "grid", "the clock of a machine has no grid", "leave grid out");
+    if (values.get(keys::fleet::door))
+        return against("fleet", "door", "the daemons have no door here", "leave door out");
     if (values.get(keys::roster::mode) != RosterMode::pushed)
         return against("roster", "mode", "only a pushed roster is played", "write mode = \"pushed\"");
     if (values.get(keys::roster::nonsense) > 0)
@@ -495,10 +497,10 @@
                     "What is named is there.",
                     known_target},
                    {{"trouble.kind", "postgres.rate"}, "A primary that is lost is there.", primary_to_lose},
-                   {{"experiment.real", "experiment.lasts", "experiment.grid", "trouble.kind", "trouble.on",
-                     "trouble.size", "class.effect", "class.group", "class.window", "servers.count",
-                     "clients.rate", "roster.mode", "roster.nonsense", "postgres.rate", "real.servers",
-                     "real.lasts", "real.rate_share"},
+                   {{"experiment.real", "experiment.lasts", "experiment.grid", "fleet.door", "trouble.kind",
+                     "trouble.on", "trouble.size", "class.effect", "class.group", "class.window",
+                     "servers.count", "clients.rate", "roster.mode", "roster.nonsense", "postgres.rate",
+                     "real.servers", "real.lasts", "real.rate_share"},
                     "What is to be real can be played by stand-ins on one machine.",
                     real_can}});
 }
--- a/tests/lab/real_test.cpp
+++ b/tests/lab/real_test.cpp
@@ -210,6 +210,7 @@
         Refused{"AnswersLost", "[[trouble]]\nname = \"t\"\nkind = \"answers_lost\"\n", "\"answers_lost\""},
         Refused{"ServerBeyond", "[[trouble]]\nname = \"t\"\nkind = \"slow\"\non = \"server 9\"\n",
                 "file:7:6: real = true: \"server 9\" is not among the 6"},
+        Refused{"Door", "[fleet]\ndoor = true\n", "file:5:8: real = true: the daemons have no door"},
         Refused{"AskedRoster", "[roster]\nmode = \"asked\"\n", "file:5:8: real = true: only a pushed roster"},
         Refused{"Postgres", "[postgres]\nrate = 5.0\n", "PostgreSQL"},
         Refused{"TwoWindows",
