--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
+#include "engine/doorway.h"
 #include "engine/keeper.h"
 #include "engine/side.h"
 #include "http/back.h"
 #include "http/front.h"
 #include "http/platform_handler.h"
+#include "log/events.h"
 #include "loop/alarm.h"
 #include "loop/alive.h"
 #include "membership/roster.h"
@@ -104,9 +106,11 @@
           operators_(std::move(options.operators)),
           open_calls_(options.open_calls),
           keep_taking_(options.keep_taking),
+          on_operators_(std::move(options.on_operators)),
           sockets_(sockets_of(config_)),
           for_clients_(options.listens ? part(sockets_, operators_.get(settings::http::client_share)) : 0),
           alarm_(executor, clock_),
+          door_alarm_(executor, clock_),
           core_(clock_, alarm_, log, core_options(operators_, open_calls_)),
           budget_{sockets_ - for_clients_, 0},
           back_(executor, core_, clock_, budget_, back_options()),
@@ -132,15 +136,23 @@
             keeper_->remember([this](UpstreamId upstream) { return core_.learned(pool_, upstream); });
         if (options.listens) {
             handler_ = std::make_unique<http::PlatformHandler>(core_, pool_);
-            front_ = std::make_unique<http::Front>(executor, core_, *handler_, clock_,
-                                                   front_limits(operators_, sockets_, for_clients_));
+            if (operators_.given("door")) {
+                doorway_ =
+                    std::make_unique<Doorway>(Doorway::World{core_, clock_, door_alarm_, log_, *handler_},
+                                              config_.settings, operators_, config_.seed);
+                door_alarm_.on_due([this] { doorway_->on_alarm(); });
+            }
+            http::Handler& handler = doorway_ ? static_cast<http::Handler&>(*doorway_) : *handler_;
+            front_ = std::make_unique<http::Front>(executor, core_, handler, clock_,
+                                                   front_limits(operators_, sockets_, for_clients_),
+                                                   http::Front::MakeChannel{}, doorway_.get());
         }
         begin_sides(options.sides);
         use_operators();
         if (roster_ && !config_.settings.must_ask_list) roster_->watch();
         if (!front_) return;
         front_->listen(config_.listen);
-        log_.line("listening on " + loop::text_of(front_->address()));
+        log_.tell(log::events::listening, loop::text_of(front_->address()));
     }
 
     ~Impl() {
@@ -163,10 +175,11 @@
             config_.settings = config.settings;
             config_.report_fields = config.report_fields;
             back_.set_options(back_options());
-            log_.line("settings taken");
+            if (doorway_) doorway_->change(config_.settings, operators_);
+            log_.tell(log::events::settings_taken);
         }
-        if (!roster_) return log_.line("configuration taken");
-        log_.line("configuration taken, discovery at " + loop::text_of(config.discovery));
+        if (!roster_) return log_.tell(log::events::configuration_taken);
+        log_.tell(log::events::discovery_taken, loop::text_of(config.discovery));
         roster_->move_to(config.discovery);
         if (keeper_) keeper_->move_to(loop::text_of(config.discovery));
     }
@@ -175,17 +188,18 @@
         if (drained_) return true;
         auto change = settings::reload(operators_, wanted);
         if (const auto* faults = std::get_if<settings::Faults>(&change)) {
-            log_.line("the old operator's file stays: with what takes a restart it can't be used: " +
-                      faults->first().front().what);
+            log_.tell(log::events::operators_contradict, faults->first().front().what);
             return false;
         }
         auto& reload = std::get<settings::Reload>(change);
-        for (const auto& each : reload.taken) log_.line("operator's file: " + settings::line_of(each));
+        for (const auto& each : reload.taken)
+            log_.tell(log::events::operators_taken, settings::line_of(each));
         for (const auto& each : reload.held) {
-            log_.line("operator's file: takes a restart: " + settings::line_of(each));
+            log_.tell(log::events::operators_held, settings::line_of(each));
         }
         operators_ = std::move(reload.values);
         use_operators();
+        if (doorway_) doorway_->change(config_.settings, operators_);
         bool all = true;
         for (const auto& side : sides_) all = side->change(operators_) && all;
         return all;
@@ -200,12 +214,13 @@
         if (draining_) return;
         draining_ = true;
         on_drained_ = std::move(drained);
-        log_.line("draining");
+        log_.tell(log::events::draining);
         Micros longest{};
         for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
         for (const auto& side : sides_) longest = std::max(longest, side->longest_deadline());
         const Micros keep_accepting = front_ ? keep_accepting_ : keep_taking_;
         if (front_) front_->begin_drain();
+        if (doorway_) doorway_->begin_drain();
         for (const auto& side : sides_) side->begin_drain();
         drain_end_ = clock_.now() + keep_accepting + longest + end_slack_;
         wind_down_after(keep_accepting);
@@ -213,6 +228,9 @@
 
     bool drained() const { return drained_; }
     core::Figures figures() const { return core_.figures(); }
+    std::optional<door::Figures> door() const {
+        return doorway_ ? std::optional(doorway_->figures()) : std::nullopt;
+    }
     std::size_t servers() const { return back_.known(); }
     std::size_t connections() const { return budget_.open + (front_ ? front_->figures().connections : 0); }
 
@@ -227,6 +245,7 @@
         core_.set_own_limit(core_options(operators_, open_calls_).own_limit);
         keep_accepting_ = operators_.get(settings::drain::keep_accepting);
         end_slack_ = operators_.get(settings::drain::end_slack);
+        if (on_operators_) on_operators_(operators_);
     }
 
     void begin_sides(const std::vector<SideMaker>& makers) {
@@ -235,6 +254,8 @@
             sides_.push_back(maker.make({executor_, core_, clock_, log_, operators_, config_.seed}));
         }
         // Guards against a table that is thought to do something and does not.
+        if (operators_.given("door") && !doorway_)
+            throw std::invalid_argument("[door] is served by the daemon only");
         for (const char* const table : {"postgres", "gateway"}) {
             const bool served =
                 std::any_of(makers.begin(), makers.end(), [&](const auto& m) { return m.table == table; });
@@ -257,9 +278,10 @@
         for (const auto& side : sides_) others = side->wind_down() || others;
         if (others && clock_.now() < drain_end_) return wind_down_after(drain_poll);
         drained_ = true;
-        log_.line("drained");
+        log_.tell(log::events::drained);
         if (roster_) roster_->stop();
         core_.close();
+        if (doorway_) doorway_->stop();
         // What was learned is asked for while the pool is there.
         const auto end = [this] {
             if (on_drained_) on_drained_();
@@ -277,12 +299,13 @@
     settings::Values operators_;
     const std::size_t open_calls_;
     const Micros keep_taking_;
+    const std::function<void(const settings::Values&)> on_operators_;
     const std::size_t sockets_;  // for clients and upstreams
     const std::size_t for_clients_;
     Micros keep_accepting_{};
     Micros end_slack_{};
     loop::Clock clock_;
-    loop::Alarm alarm_;
+    loop::Alarm alarm_, door_alarm_;
     core::Core core_;
     http::ConnectionBudget budget_;
     http::Back back_;
@@ -290,6 +313,7 @@
     std::unique_ptr<membership::Roster> roster_;
     core::PoolId pool_ = 0;
     std::unique_ptr<http::PlatformHandler> handler_;
+    std::unique_ptr<Doorway> doorway_;  // with [door]
     std::unique_ptr<http::Front> front_;
     std::vector<std::unique_ptr<Side>> sides_;
     boost::asio::steady_timer timer_;
@@ -314,6 +338,7 @@
 void Engine::drain(std::function<void()> drained) { impl_->drain(std::move(drained)); }
 bool Engine::drained() const { return impl_->drained(); }
 core::Figures Engine::figures() const { return impl_->figures(); }
+std::optional<door::Figures> Engine::door() const { return impl_->door(); }
 std::size_t Engine::servers() const { return impl_->servers(); }
 std::size_t Engine::connections() const { return impl_->connections(); }
 
