Module: a release does not spill; a pair is compared by what each one costs

Of an equal pair full refusals counted for nothing, since they are quick. Change: in the half that has to be ready, cold ones count as ready and each stands in for one that drains; a zone that drains with nothing in its place spills as before. A full refusal costs a gap in the pair's comparison. Two new tests fail with the module of before.

--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -58,8 +58,8 @@
 constexpr double least_slope = 0.5;  // flattest line of latency over our own load, as a share of proportion
 // Of a denser class's aim, what others may use at least (0.25 tried; 0.6 with many balancers: overload tips).
 constexpr double least_patience = 0.5, least_patience_alone = 0.75;
-constexpr double clear_lead = 0.05;  // of T1: by so much shorter answers decide between equals
-constexpr std::size_t at_once = 2;  // first attempts after which what never ran waits no gap (1 tried)
+constexpr double clear_lead = 0.05;  // of T1: by so much one must cost less to come first of a pair
+constexpr std::size_t at_once = 2;   // first attempts after which what never ran waits no gap (1 tried)
 // A balancer's share of a zone.
 constexpr double hearings = 8;                 // answers that it should get from each before it forgets
 constexpr double coverage = 2;                 // shares that an upstream should be in at least
@@ -586,8 +586,8 @@
         u.ring = ring;
     }
 
-    // Walks a ring from this balancer's place until it has its share of upstreams that are fit and may get
-    // new work. Returns whether at least half of those that it met are.
+    // Walks a ring from this balancer's place until it has its share of upstreams that are fit and may get new
+    // work. Are half of those met? In a release cold ones count as ready, and each replaces one that drains.
     bool gather(const std::vector<std::size_t>& ring, std::vector<std::size_t>& pool, const Open& r,
                 bool lenient, Time now) {
         // Guards against connections that suddenly can't be made, or only slowly and at a cost to the
@@ -600,17 +600,19 @@
         const std::size_t most = pool.size() + shares * share_size(ring.size());
         const double turn = s_.rank * golden;
         const auto place = static_cast<std::size_t>((turn - std::floor(turn)) * ring.size());
-        std::size_t met = 0, ready = 0;
+        std::size_t met = 0, ready = 0, cold = 0, leaving = 0;
         for (; met < ring.size() && pool.size() < most; ++met) {
             const std::size_t i = ring[(place + met) % ring.size()];
             Upstream& u = upstreams_[i];
+            cold += warmth(u, now) < 1;
+            leaving += u.entry.state != UpstreamState::ready;
             const bool serves = now >= u.services[class_of(r)].out_until;
             const bool able = fit(u, now) && serves && (open_link(u, now) || !links_dear || pinned);
             if (!(able || (lenient && !u.died && !pinned)) || !may_get_new_work(u, now)) continue;
             ++ready;
             if ((i != failed || pinned) && may_send(r, i, now)) pool.push_back(i);
         }
-        return 2 * ready >= met;
+        return 2 * ready + cold + std::min(leaving, cold) >= met;
     }
 
     // Fills home_ with the upstreams among which a request may be placed, a fresh pair first.
@@ -659,12 +661,11 @@
 
     bool drawn_by_key(std::uint64_t key) const { return s_.warm_keys && key != 0; }
 
-    // Moves a fresh pair to the front of the pool, the one with fewer of ours in flight first. Guards against
-    // many balancers with hardly any in flight, who would give slow upstreams as much as fast ones: of equals
-    // the one with clearly shorter answers, as far as that is remembered, comes first. Chance decides between
-    // like ones, or the least lead would draw all work to one. The pair is random; where upstreams do less
-    // work for keys that they met lately, chance is the key's own: every request of a key draws the same two
-    // of those that have room, at every balancer, so that popular keys still have a choice.
+    // Moves a fresh pair to the front of the pool, the one with fewer of ours in flight first; of equals the
+    // one that clearly costs less (its answers as remembered, a gap for each full refusal), or many balancers
+    // with hardly any in flight would give slow ones as much as fast ones. Chance decides between like ones:
+    // the least lead would draw all to one. The pair is random; where upstreams do less work for keys met
+    // lately, chance is the key's own, alike at every balancer, among those with room: so keys have a choice.
     void draw_pair(std::uint64_t key, double t1_us, Time now) {
         if (home_.size() < 2) return;
         if (drawn_by_key(key)) {
@@ -679,11 +680,12 @@
         }
         const Upstream& a = upstreams_[home_[0]];
         const Upstream& b = upstreams_[home_[1]];
-        const auto usual = [&](const Upstream& u) {
-            return Fading{u.latency_us, u.answered_at}.now(now, stale_us());
+        const auto cost = [&](const Upstream& u) {
+            return Fading{u.latency_us, u.answered_at}.now(now, stale_us()) +
+                   u.full.now(now, decay_us()) * t1_us;
         };
-        const bool faster = b.in_flight == a.in_flight && usual(b) + clear_lead * t1_us < usual(a);
-        if (b.in_flight < a.in_flight || faster) std::swap(home_[0], home_[1]);
+        const bool cheaper = b.in_flight == a.in_flight && cost(b) + clear_lead * t1_us < cost(a);
+        if (b.in_flight < a.in_flight || cheaper) std::swap(home_[0], home_[1]);
     }
 
     // Chance of its own, the same at every balancer.
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -604,6 +604,25 @@
     EXPECT_GT(slow, 30);
 }
 
+// A full refusal is quick, and costs the request a gap elsewhere.
+TEST(Originals, OfAnEqualPairTheOneThatTurnsLessAwayThoughItIsSlower) {
+    Rig rig;
+    rig.fleet(2);
+    int full = 0, of = 0;
+    for (int i = 0; i < 400; ++i) {
+        const auto id = rig.request(unsafe);
+        const bool first = rig.sink.submits.back().upstream == 1;
+        const Micros latency = first ? ms(10) : ms(14);
+        rig.now += latency;
+        const bool turned_away = first && i % 2 == 0;
+        rig.end(id, 0, turned_away ? Outcome::full : Outcome::ok, latency);
+        if (turned_away && rig.sink.sends(id) == 2) rig.end(id, 1, Outcome::ok, latency);
+        full += first;
+        ++of;
+    }
+    EXPECT_LT(full, of / 3);
+}
+
 // A hair's breadth would draw all work to one of two that are as good as like.
 TEST(Originals, OfAnEqualPairThatIsAsGoodAsLikeChanceDecides) {
     Rig rig;
@@ -627,6 +646,22 @@
     EXPECT_GT(rig.sink.sends_to(101) + rig.sink.sends_to(102), 10u);
 }
 
+// A release starts most of a zone anew: what is cold and may not get more just now is ready all the same, and
+// what drains behind it is not missing.
+TEST(Originals, NoSpillDuringARelease) {
+    Rig rig;
+    rig.fleet(4, 2);
+    for (int i = 0; i < 200; ++i) rig.served();
+    rig.list(ListKind::delta, {Rig::entry(5, 0, UpstreamState::ready, rig.now),
+                               Rig::entry(6, 0, UpstreamState::ready, rig.now),
+                               Rig::entry(7, 0, UpstreamState::ready, rig.now)});
+    for (int i = 0; i < 50; ++i) rig.served();
+    rig.drain({1, 2, 3});
+    for (int i = 0; i < 50; ++i) rig.served();
+    EXPECT_EQ(rig.sink.sends_to(101) + rig.sink.sends_to(102), 0u);
+    EXPECT_GT(rig.sink.sends_to(4), 60u);
+}
+
 TEST(Originals, SpillWhenEveryUpstreamOfTheZoneIsSlow) {
     Rig rig;
     rig.fleet(2, 2);
