Door: a told cost is bounded, a token takes one call ahead, nobody gives way for nothing

A told cost was charged as it came: told a thousandth, what is carried could not make up for it and its tenant took nearly everything (53 to 69 times over the bound); told an hour, it held up its whole tenant, and refused all as too late before the first completions. It is believed from an eighth of the class's mean to 32 of it. A token let its flow send all that waited behind it ahead of others (10 of the next 10 among five flows): it takes one call ahead. A large request threw out others and was refused after all: who gives way is weighed first. Calls of a class that went were not counted on; a class beyond the list threw; a rate near zero overflowed into none; after a change of worth each removal looked at all that waits: each stands under the worth it came with.

--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -16,7 +16,12 @@
 constexpr std::size_t node_bytes = 3 * 72;
 
 double micros(Micros span) { return static_cast<double>(span.count()); }
-Micros micros(double span) { return Micros(static_cast<Micros::rep>(span)); }
+// Beyond thirty years, or no number: so long. Sums of such spans and a time don't overflow.
+constexpr double longest_span = 1e15;
+Micros micros(double span) {
+    return Micros(
+        static_cast<Micros::rep>(span < longest_span ? std::max(span, -longest_span) : longest_span));
+}
 
 void check(const Limits& limits, const std::string& whose) {
     if (limits.per_s < 0) throw std::invalid_argument(whose + ": a rate is 0 (none) or above");
@@ -73,6 +78,7 @@
     Time point{};
     Time sent_at{};
     double cost = 0;
+    double worth = 0;  // when it came: it stands under it, also where it was changed meanwhile
     std::size_t bytes = 0;
     bool in_flows = false;  // charged there too
     Window::Handed handed;
@@ -142,7 +148,15 @@
     }
     tenants_ = std::move(tenants);
     scheduler_ = std::move(scheduler);
-    classes_.resize(terms.classes.size());
+    // Classes as well; one that is gone counts for the last.
+    std::vector<Class> classes(terms.classes.size());
+    std::vector<int> class_moved;
+    for (const Class& each : classes_) {
+        const auto place = place_of(terms.classes, each.terms.name);
+        class_moved.push_back(static_cast<int>(place.value_or(classes.size() - 1)));
+        if (place && classes[*place].mean == 0) classes[*place] = each;
+    }
+    classes_ = std::move(classes);
     most_worth_ = 0;
     for (std::size_t i = 0; i < classes_.size(); ++i) {
         if (classes_[i].mean == 0) classes_[i].mean = classes_[i].median = micros(terms.classes[i].service);
@@ -152,11 +166,13 @@
     if (!(terms_.book == terms.book)) book_ = Book(terms.book);
     terms_ = std::move(terms);
     const std::size_t others = tenants_.size() - 1;
+    for (Class& each : classes_) each.lane.open = 0;
     for (std::uint32_t at = 0; at < entries_.size(); ++at) {
         Entry& entry = entries_[at];
         if (entry.state == Entry::State::free) continue;
         const std::size_t place = moved[entry.tenant];
-        entry.class_index = std::min(entry.class_index, static_cast<int>(classes_.size()) - 1);
+        entry.class_index = class_moved[static_cast<std::size_t>(entry.class_index)];
+        ++classes_[static_cast<std::size_t>(entry.class_index)].lane.open;
         const bool homeless = place == others && entry.tenant + 1 != moved.size();
         entry.tenant = place;
         if (!homeless) continue;
@@ -167,8 +183,7 @@
         if (!its.flows) its.flows = std::make_unique<Flows>(now, draw());
         entry.flow = static_cast<std::uint32_t>(its.flows->place(now, entry.client, entry.cost, draw()));
         its.flows->push(entry.flow, entry.place, {});
-        its.least.emplace(classes_[static_cast<std::size_t>(entry.class_index)].terms.worth,
-                          ~entry.place.arrival, at);
+        its.least.emplace(entry.worth, ~entry.place.arrival, at);
         its.bytes += entry.bytes;
         ++its.figures.waiting;
     }
@@ -227,22 +242,40 @@
 // With the door full, the tenant furthest over its share gives way, by its request that is worth least, latest;
 // where that would be the one that comes, it is refused.
 std::optional<Reason> Door::make_room(std::size_t tenant, double worth, std::size_t bytes) {
-    while (waiting_ >= terms_.most_entries || waiting_bytes_ + bytes > terms_.most_bytes) {
-        const Reason reason = waiting_ >= terms_.most_entries ? Reason::total_entries : Reason::total_bytes;
+    if (waiting_ < terms_.most_entries && waiting_bytes_ + bytes <= terms_.most_bytes) return std::nullopt;
+    // Weighed first and done then: nobody gives way to one that is refused after all.
+    struct Left {
+        std::size_t entries, bytes;
+        decltype(Tenant::least)::const_iterator next;
+    };
+    std::vector<Left> left;
+    left.reserve(tenants_.size());
+    for (const auto& each : tenants_) left.push_back({each->least.size(), each->bytes, each->least.begin()});
+    std::vector<std::uint32_t> give_way;
+    std::size_t entries = waiting_, all_bytes = waiting_bytes_;
+    while (entries >= terms_.most_entries || all_bytes + bytes > terms_.most_bytes) {
+        const Reason reason = entries >= terms_.most_entries ? Reason::total_entries : Reason::total_bytes;
         std::size_t furthest = tenant;
-        double most = over_share(*tenants_[tenant], tenants_[tenant]->least.size() + 1,
-                                 tenants_[tenant]->bytes + bytes);
+        double most = over_share(*tenants_[tenant], left[tenant].entries + 1, left[tenant].bytes + bytes);
         for (std::size_t i = 0; i < tenants_.size(); ++i) {
-            const double over = over_share(*tenants_[i], tenants_[i]->least.size(), tenants_[i]->bytes);
-            if (over > most && !tenants_[i]->least.empty()) {
+            const double over = over_share(*tenants_[i], left[i].entries, left[i].bytes);
+            if (over > most && left[i].entries > 0) {
                 most = over;
                 furthest = i;
             }
         }
-        const auto& least = tenants_[furthest]->least;
-        if (least.empty()) return reason;
-        if (furthest == tenant && worth <= std::get<0>(*least.begin())) return reason;
-        const std::uint32_t at = std::get<2>(*least.begin());
+        Left& its = left[furthest];
+        if (its.entries == 0) return reason;
+        if (furthest == tenant && worth <= std::get<0>(*its.next)) return reason;
+        const std::uint32_t at = std::get<2>(*its.next);
+        give_way.push_back(at);
+        ++its.next;
+        --its.entries;
+        its.bytes -= entries_[at].bytes;
+        --entries;
+        all_bytes -= entries_[at].bytes;
+    }
+    for (const std::uint32_t at : give_way) {
         stop_waiting(at);
         entries_[at].state = Entry::State::gives_way;
         giving_way_.emplace_back(at, Reason::gave_way);
@@ -282,7 +315,9 @@
 Door::Arrival Door::arrive(Time now, const Request& request) {
     const std::size_t tenant = std::min(request.tenant, tenants_.size() - 1);
     Tenant& its = *tenants_[tenant];
-    Class& of_class = classes_.at(static_cast<std::size_t>(request.class_index));
+    // One that came just as the classes change: as change() does.
+    const int class_index = std::clamp(request.class_index, 0, static_cast<int>(classes_.size()) - 1);
+    Class& of_class = classes_[static_cast<std::size_t>(class_index)];
     const std::uint64_t client =
         XXH3_64bits_withSeed(request.client.data(), request.client.size(), client_key_);
     ++its.figures.came;
@@ -291,7 +326,7 @@
     bool promised = false;
     if (!request.token.empty()) {
         const auto told = tokens_.open(request.token);
-        promised = told && told->tenant == tenant && told->class_index == request.class_index &&
+        promised = told && told->tenant == tenant && told->class_index == class_index &&
                    told->client == static_cast<std::uint32_t>(client) && book_.in_time(now, told->slot);
         if (promised) no_earlier = told->stamp;
         ++(promised ? its.figures.returned : its.figures.unheeded);
@@ -299,13 +334,17 @@
     if (!promised) book_.came_untold(now);
 
     const auto refuse = [&](Reason reason, Micros soonest) {
-        return Arrival{0, false, refusal(now, tenant, request.class_index, client, reason, soonest)};
+        return Arrival{0, false, refusal(now, tenant, class_index, client, reason, soonest)};
     };
     const Micros median = micros(of_class.median);
     if (const auto over = over_limits(now, its, of_class, client)) return refuse(over->first, over->second);
 
-    const double cost = request.cost_hint ? micros(*request.cost_hint) : of_class.mean;
-    // What it will take at least half of the time; one that told more than most is believed as far as that.
+    // What was told is the client's word. Too little: the least that still lets what is carried (ten of the
+    // largest estimates) make up for the mean. Too much: it is charged to the whole tenant.
+    const double cost = request.cost_hint
+                            ? std::clamp(micros(*request.cost_hint), of_class.mean / 8, of_class.mean * 32)
+                            : of_class.mean;
+    // What it will take at least half of the time.
     const Micros service =
         micros(of_class.median * std::clamp(cost / std::max(of_class.mean, 1.0), 1.0 / 32, 32.0));
     const bool waits = waiting_ > 0 || !window_.room(now, false);
@@ -333,11 +372,12 @@
     entry.generation = generation;
     entry.tenant = tenant;
     entry.flow = flow;
-    entry.class_index = request.class_index;
+    entry.class_index = class_index;
     entry.client = client;
     entry.came = now;
     entry.point = request.deadline - service;
     entry.cost = cost;
+    entry.worth = of_class.terms.worth;
     entry.bytes = held_bytes(request);
     entry.in_flows = its.flows != nullptr;
     const double rank = most_worth_ > 0 ? of_class.terms.worth / most_worth_ : 0;
@@ -362,8 +402,7 @@
     entry.state = Entry::State::waits;
     its.flows->push(entry.flow, entry.place, no_earlier);
     // Behind those of equal worth that came before: the latest goes first.
-    its.least.emplace(classes_[static_cast<std::size_t>(entry.class_index)].terms.worth, ~entry.place.arrival,
-                      at);
+    its.least.emplace(entry.worth, ~entry.place.arrival, at);
     its.bytes += entry.bytes;
     points_.emplace(entry.point, at);
     scheduler_.wake(entry.tenant);
@@ -376,10 +415,7 @@
     Entry& entry = entries_[at];
     Tenant& its = *tenants_[entry.tenant];
     its.flows->remove(entry.flow, entry.place);
-    // A worth that was changed meanwhile stands under its old one.
-    const double worth = classes_[static_cast<std::size_t>(entry.class_index)].terms.worth;
-    if (its.least.erase({worth, ~entry.place.arrival, at}) == 0)
-        std::erase_if(its.least, [&](const auto& each) { return std::get<2>(each) == at; });
+    its.least.erase({entry.worth, ~entry.place.arrival, at});
     its.bytes -= entry.bytes;
     points_.erase({entry.point, at});
     if (its.least.empty()) scheduler_.rest(entry.tenant);
@@ -404,8 +440,7 @@
     Entry& entry = entries_[at];
     Tenant& its = *tenants_[entry.tenant];
     --its.lane.open;
-    std::uint32_t& of_class = classes_[static_cast<std::size_t>(entry.class_index)].lane.open;
-    if (of_class > 0) --of_class;  // where its class went, it counts for the last one
+    --classes_[static_cast<std::size_t>(entry.class_index)].lane.open;
     if (its.flows) {
         if (const auto counter = its.flows->hitters().find(entry.client)) {
             std::uint32_t& open = its.flows->hitters().at(*counter).open;
--- a/src/door/scheduler.cpp
+++ b/src/door/scheduler.cpp
@@ -22,6 +22,7 @@
         its.carried = std::max(0.0, its.carried - (virtual_time_ - its.finish) * its.weight);
     }
     its.awake = true;
+    its.early = now < virtual_time_;
     weight_awake_ += its.weight;
     order(party, std::max(now, its.finish));
 }
@@ -49,6 +50,8 @@
     its.largest = std::max(its.largest, estimate);
     its.finish = start + charged / its.weight;
     virtual_time_ = std::max(virtual_time_, start);
+    if (its.early) its.finish = std::max(its.finish, virtual_time_);
+    its.early = false;
     if (its.awake) {
         order_.erase({its.start, party});
         order(party, its.finish);
--- a/src/door/scheduler.h
+++ b/src/door/scheduler.h
@@ -31,7 +31,7 @@
     double weight(std::size_t party) const { return parties_[party].weight; }
 
     // It has work from now on; nothing happens when it had. `no_earlier`, where it is before the virtual time,
-    // is where one may start that was promised so.
+    // is where one may start that was promised so: that one, and not what comes behind it.
     void wake(std::size_t party, std::optional<double> no_earlier = {});
     // It has none any more.
     void rest(std::size_t party);
@@ -56,6 +56,7 @@
         double carried = 0;
         double largest = 0;
         bool awake = false;
+        bool early = false;  // it starts before the virtual time, as promised
     };
     void order(std::size_t party, double start);
 
--- a/tests/door/door_test.cpp
+++ b/tests/door/door_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <malloc.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -299,6 +300,105 @@
         << "hundredths of allocations a request";
 }
 
+// One that is refused after all has thrown out nobody.
+TEST(Door, NobodyGivesWayToOneThatIsRefused) {
+    Terms terms = plain();
+    terms.most_entries = 100;
+    terms.most_bytes = 100'000;
+    Rig rig(terms);
+    rig.fill();
+    for (int i = 0; i < 6; ++i) ASSERT_NE(rig.come(0, 1, "c", "", 10'000).ticket, 0u);
+    for (int i = 0; i < 3; ++i) ASSERT_NE(rig.come(2, 1, "c", "", 10'000).ticket, 0u);
+    const auto large = rig.come(1, 1, "c", "", 50'000);
+    ASSERT_TRUE(large.refused);
+    EXPECT_EQ(large.refused->reason, Reason::total_bytes);
+    EXPECT_TRUE(rig.steps().empty());
+    EXPECT_EQ(rig.door.waiting(), 9u);
+}
+
+// Those of a class that went count for the last one, and so does one that comes just then.
+TEST(Door, AClassThatWentIsCountedOn) {
+    Rig rig(plain());
+    rig.fill();
+    for (int i = 0; i < 2; ++i) ASSERT_NE(rig.come(1, 1).ticket, 0u);
+    Terms terms = plain();
+    terms.classes = {{"book", 10, 10ms, {5, 0, 1}}};
+    rig.door.change(terms, rig.now);
+    EXPECT_NE(rig.come(1, 1).ticket, 0u);
+    const auto arrival = rig.come(1, 0);
+    ASSERT_TRUE(arrival.refused);
+    EXPECT_EQ(arrival.refused->reason, Reason::class_open);
+}
+
+TEST(Door, ARateNearZeroIsALimit) {
+    Terms terms = plain();
+    terms.tenants[1].limits = {0, 1e-300, 1};
+    Rig rig(terms);
+    EXPECT_TRUE(rig.come(1).handed);
+    const auto arrival = rig.come(1);
+    ASSERT_TRUE(arrival.refused);
+    EXPECT_EQ(arrival.refused->reason, Reason::tenant_rate);
+}
+
+// One client that tells a cost of an hour holds up its own tenant for no longer than one of 32 means does.
+TEST(Door, ACostOfAnHourIsNotBelieved) {
+    Terms terms = plain();
+    terms.most_entries = 500;
+    Rig rig(terms);
+    Request request;
+    request.tenant = 0;
+    request.client = "liar";
+    request.deadline = rig.now + 10s;
+    request.cost_hint = 1h;
+    rig.handed.push_back(rig.door.arrive(rig.now, request).ticket);
+    rig.fill();
+    std::vector<Ticket> its;
+    for (int i = 0; i < 30; ++i) {
+        its.push_back(rig.come(0).ticket);
+        ASSERT_NE(its.back(), 0u);
+        ASSERT_NE(rig.come(1).ticket, 0u);
+    }
+    std::size_t got = 0;
+    for (int i = 0; i < 80; ++i) {
+        rig.serve_one();
+        for (const Step& step : rig.steps()) got += std::count(its.begin(), its.end(), step.ticket);
+        (void)rig.come(1);
+    }
+    EXPECT_GE(got, 15u) << "32 go to the other first, then they take turns";
+}
+
+// A token takes one call ahead, not all that its client sends with it, nor once more when it is shown again.
+TEST(Token, ShownAgainGainsNothing) {
+    Terms terms = plain();
+    terms.most_entries = 500;
+    terms.book.longest = 1s;
+    Rig rig(terms);
+    ASSERT_TRUE(rig.come(0, 1, "x").handed);
+    rig.fill();
+    for (int i = 0; i < 240; ++i) ASSERT_NE(rig.come(0, 1, std::to_string(i % 4)).ticket, 0u);
+    const auto told = rig.door.end(rig.handed.front(), rig.now, Window::End::no_room);
+    ASSERT_TRUE(told);
+    rig.handed.erase(rig.handed.begin());
+    const Time back = rig.now + told->retry_after;
+    while (rig.now < back) {
+        rig.serve_one();
+        (void)rig.steps();
+    }
+    std::vector<Ticket> its;
+    for (int i = 0; i < 20; ++i) its.push_back(rig.come(0, 1, "x", told->token).ticket);
+    EXPECT_EQ(rig.door.figures(rig.now).tenants[0].returned, 20u);
+    std::size_t got = 0, handed = 0;
+    while (handed < 10) {
+        rig.serve_one();
+        for (const Step& step : rig.steps()) {
+            got += std::count(its.begin(), its.end(), step.ticket);
+            ++handed;
+        }
+    }
+    EXPECT_GE(got, 1u);
+    EXPECT_LE(got, 4u) << "one ahead, and its turn among five";
+}
+
 TEST(Explain, BrokenScriptsAreNamedByTheirLine) {
     const struct {
         const char* text;
--- a/tests/door/fairness_test.cpp
+++ b/tests/door/fairness_test.cpp
@@ -22,6 +22,7 @@
         {"drawn costs told", {1, 2, 1}, {{0, 900, 30, 10ms, true, 1}, {1, 900, 30, 10ms, true, 1}}},
         {"drawn costs not told", {1, 1, 1}, {{0, 900, 30, 10ms, true}, {1, 900, 30}}},
         {"told a third", {1, 1, 1}, {{0, 900, 30, 10ms, false, 0.33}, {1, 900, 30, 10ms, false, 1}}},
+        {"told a thousandth", {1, 1, 1}, {{0, 900, 30, 10ms, false, 0.001}, {1, 900, 30, 10ms, false, 1}}},
         {"told three times", {2, 1, 1}, {{0, 900, 30, 10ms, false, 3}, {1, 900, 30, 10ms, false, 1}}},
         {"a thousand beside one", {1, 1, 1}, {{0, 3000, 1000}, {1, 800, 1}}},
         {"one under 100,000 names", {1, 1, 1}, {{0, 3000, 100'000}, {1, 800, 20}}},
