Door: a lower limit throws out nobody; whole seconds promise all of each

With max_waiting or max_bytes lowered under a full queue, the next arrival threw out all that waited beyond the new limit at once: one takes another's place now, and the rest is served or refused in its time. With whole_seconds only a quarter of each second's capacity was promised (a slot is a quarter of a second), and the rest counted as excess and told too late: a slot is a second there. An error of a front at the drain's end kept the others there from their answers, and one at an answer the next call from the room that came free. A share that the platform tells is held to the range of a weight.

Tests: two cases fail with the door as it was (7 thrown out for one; 182 of 300 promises excess) and pass now; all 39 of the door's test program and the 6 of the gate's pass.

--- a/src/door/book.cpp
+++ b/src/door/book.cpp
@@ -32,7 +32,9 @@
     // All that clients heed must lie within the slots that there are.
     const Micros least(options_.longest.count() / static_cast<Micros::rep>(slots - 2) + 1);
     const Micros fine(options_.longest.count() / 16);
-    options_.slot = std::max({least, std::min(options_.slot, fine), Micros(1000)});
+    // In whole seconds there is one slot to each of them, else only a part of each would be promised.
+    options_.slot = options_.whole_seconds ? std::max(least, a_second)
+                                           : std::max({least, std::min(options_.slot, fine), Micros(1000)});
 }
 
 void Book::completed(Time now) {
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -242,7 +242,10 @@
 // With the door full, the tenant furthest over its share gives way, by its request that is worth least, latest;
 // where that would be the one that comes, it is refused.
 std::optional<Reason> Door::make_room(std::size_t tenant, double worth, std::size_t bytes) {
-    if (waiting_ < terms_.most_entries && waiting_bytes_ + bytes <= terms_.most_bytes) return std::nullopt;
+    // Where the limits fell while more waited, one takes another's place and the rest goes on waiting.
+    const std::size_t most_entries = std::max(terms_.most_entries, waiting_);
+    const std::size_t most_bytes = std::max(terms_.most_bytes, waiting_bytes_);
+    if (waiting_ < most_entries && waiting_bytes_ + bytes <= most_bytes) return std::nullopt;
     // Weighed first and done then: nobody gives way to one that is refused after all.
     struct Left {
         std::size_t entries, bytes;
@@ -253,8 +256,8 @@
     for (const auto& each : tenants_) left.push_back({each->least.size(), each->bytes, each->least.begin()});
     std::vector<std::uint32_t> give_way;
     std::size_t entries = waiting_, all_bytes = waiting_bytes_;
-    while (entries >= terms_.most_entries || all_bytes + bytes > terms_.most_bytes) {
-        const Reason reason = entries >= terms_.most_entries ? Reason::total_entries : Reason::total_bytes;
+    while (entries >= most_entries || all_bytes + bytes > most_bytes) {
+        const Reason reason = entries >= most_entries ? Reason::total_entries : Reason::total_bytes;
         std::size_t furthest = tenant;
         double most = over_share(*tenants_[tenant], left[tenant].entries + 1, left[tenant].bytes + bytes);
         for (std::size_t i = 0; i < tenants_.size(); ++i) {
--- a/src/door/gate.cpp
+++ b/src/door/gate.cpp
@@ -51,7 +51,11 @@
         core::Final final;
         final.verdict = core::Verdict::refused;
         final.cause = core::Cause::shutting_down;
-        answer(ticket, std::move(final), {});
+        try {
+            answer(ticket, std::move(final), {});
+        } catch (...) {  // the others are told all the same
+            telling_.clear();
+        }
     }
 }
 
@@ -233,7 +237,12 @@
         if (told->retry_after >= final.retry_after) retry_token = told->token;
         final.retry_after = std::max(final.retry_after, told->retry_after);
     }
-    answer(token, std::move(final), retry_token);
+    try {
+        answer(token, std::move(final), retry_token);
+    } catch (...) {
+        pump();  // there is room for another one all the same
+        throw;
+    }
     pump();
 }
 
--- a/src/engine/door_terms.cpp
+++ b/src/engine/door_terms.cpp
@@ -25,7 +25,8 @@
         // Nobody is of the second: whoever asks is of the first of that name. Its place stays.
         while (door::place_of(terms.tenants, name)) name += " again";
         if (name != each.name) log("the platform names tenant " + each.name + " twice");
-        terms.tenants.push_back({name, each.fraction > 0 ? each.fraction * 100 : 1, {}});
+        terms.tenants.push_back(
+            {name, each.fraction > 0 ? std::clamp(each.fraction * 100, 0.001, 1e6) : 1, {}});
     }
     if (terms.tenants.size() > 256) {
         log("more than 256 tenants; the rest share one place");
--- a/tests/door/book_test.cpp
+++ b/tests/door/book_test.cpp
@@ -190,6 +190,10 @@
     }
     EXPECT_GT(told[1], 0u);
     EXPECT_GT(told[3], 0u) << "spread over them";
+    for (int i = 0; i < 400; ++i) book.completed(now += 10ms);
+    const auto excess = book.excess();
+    for (int i = 0; i < 300; ++i) (void)book.promise(now, 10ms, 0, 0.5);
+    EXPECT_EQ(book.excess(), excess) << "five seconds hold 500";
     Book narrow({200ms, 250ms, false});
     for (int i = 0; i < 100; ++i) EXPECT_LE(narrow.promise(now, 10ms, 0, 0.99).after, 200ms);
 }
--- a/tests/door/door_test.cpp
+++ b/tests/door/door_test.cpp
@@ -316,6 +316,19 @@
     EXPECT_EQ(rig.door.waiting(), 9u);
 }
 
+TEST(Door, ALowerLimitThrowsOutNobody) {
+    Rig rig(plain());
+    rig.fill();
+    for (int i = 0; i < 8; ++i) ASSERT_NE(rig.come(0).ticket, 0u);
+    Terms terms = plain();
+    terms.most_entries = 2;
+    rig.door.change(terms, rig.now);
+    EXPECT_TRUE(rig.come(0).refused);
+    EXPECT_NE(rig.come(1).ticket, 0u);
+    EXPECT_EQ(rig.steps().size(), 1u) << "one in the place of another";
+    EXPECT_EQ(rig.door.waiting(), 8u);
+}
+
 // Those of a class that went count for the last one, and so does one that comes just then.
 TEST(Door, AClassThatWentIsCountedOn) {
     Rig rig(plain());
