Door: random worlds that change, with fronts that throw, stalls and names again

The gate's random worlds held their settings and fronts still. Sixty more list classes and tenants otherwise while calls wait, lower and raise what may wait, throw from fronts, stand still for seconds, bring names again and end at a drain's very end or without it: each call taken and not left has exactly one answer, and nothing stays.

--- a/tests/door/gate_test.cpp
+++ b/tests/door/gate_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 
 #include "core/fakes.h"
@@ -208,5 +209,77 @@
     }
 }
 
+// The same with whatever else may come: settings listed otherwise, fronts that throw, stalls, names that come again
+// while they may run, and the drain's very end.
+TEST(Gate, RandomWorldsThatChange) {
+    for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937 random(seed);
+        Behind world;
+        std::set<std::uint64_t> left, taken;
+        std::uint64_t token = 0;
+        world.front.when_final = [&](std::uint64_t) {
+            if (random() % 20 == 0) throw std::runtime_error("no memory");
+        };
+        const Settings first = platform();
+        Settings now = first;
+        for (int step = 0; step < 400; ++step) {
+            const auto dice = random() % 20;
+            try {
+                if (dice < 10) {
+                    ++token;
+                    taken.insert(token);
+                    core::Call c = world.call(world.pool, static_cast<int>(random() % now.classes.size()),
+                                              ms(50 + static_cast<int>(random() % 900)));
+                    c.payload = std::make_shared<core::test::Ticket>(token);
+                    c.name = name_of("c", random() % 4 ? token : 1 + random() % token);
+                    c.tenant = {core::Tenant::Kind::known, static_cast<int>(random() % 3)};
+                    world.came[token] = world.clock.at;
+                    world.ids[token] = 0;
+                    if (world.door->take(std::move(c), world.front, token, &world.ids[token]) != Taken::yes)
+                        taken.erase(token);
+                } else if (dice < 15 && !world.back->out.empty()) {
+                    auto at = world.back->out.begin();
+                    std::advance(at, random() % world.back->out.size());
+                    const core::AttemptKey key = *at;
+                    if (random() % 3 == 0) {
+                        world.back->begin(key);
+                    } else {
+                        world.back->answer(key, random() % 5 ? Outcome::ok : Outcome::error);
+                    }
+                } else if (dice == 15 && token > 0) {
+                    const std::uint64_t gone = 1 + random() % token;
+                    if (taken.contains(gone) && world.front.finals(gone) == 0 && left.insert(gone).second)
+                        world.door->leave(world.ids[gone]);
+                } else if (dice == 16) {
+                    std::shuffle(now.classes.begin(), now.classes.end(), random);
+                    std::shuffle(now.tenants.begin(), now.tenants.end(), random);
+                    if (random() % 3 == 0 && now.classes.size() > 1) now.classes.pop_back();
+                    if (random() % 3 == 0) now = first;
+                    world.door->change(
+                        door_terms(now, values("[door]\nmax_waiting = " + std::to_string(1 + random() % 40)),
+                                   [](const auto&) {}),
+                        {true, seconds(30), false});
+                    world.core->change_pool(world.pool, now);
+                } else if (dice == 17) {
+                    world.clock.at += ms(static_cast<int>(random() % 3000));
+                }
+            } catch (const std::runtime_error&) {
+                // what its front threw comes back to it from take()
+            }
+            if (step == 350) world.door->begin_drain();
+            world.go(ms(static_cast<int>(random() % 12)));
+        }
+        if (seed % 2) world.core->close();
+        if (seed % 2) world.door->stop();
+        if (seed % 4 == 1) world.core->remove_pool(world.pool);
+        world.go(ms(2000));
+        EXPECT_EQ(world.door->figures().waiting, 0u);
+        EXPECT_EQ(world.door->figures().in_flight, 0u);
+        for (std::uint64_t i = 1; i <= token; ++i)
+            ASSERT_EQ(world.front.finals(i), left.contains(i) || !taken.contains(i) ? 0u : 1u) << i;
+    }
+}
+
 }  // namespace
 }  // namespace flaxdoor::engine::test
