--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -586,8 +586,8 @@
         u.ring = ring;
     }
 
-    // Walks a ring from this balancer's place until it has its share of upstreams that are fit and may get new
-    // work. Are half of those met? In a release cold ones count as ready, and each replaces one that drains.
+    // Walks a ring from this balancer's place until it has its share of upstreams that are fit and may get
+    // new work. Are half of those met? In a release cold ones count as ready, each replaces one that drains.
     bool gather(const std::vector<std::size_t>& ring, std::vector<std::size_t>& pool, const Open& r,
                 bool lenient, Time now) {
         // Guards against connections that suddenly can't be made, or only slowly and at a cost to the
