Log: a stalled terminal holds nothing up, and no line goes into another's descriptor

Cause: a terminal says that it takes something as soon as there is room for one byte, and a write of a whole line then waits for the rest: a daemon whose terminal stalled (a hung ssh, a paused window) stood still with its loop, /ready gave no answer. A pipe shared with another process had the same gap between question and write. Started without a standard error, its number went to the loop's own eventfd, and the lines into that. In logfmt a value without quotes that was too long was left out whole, where the page says that it is cut.

The daemon puts /dev/null where a standard descriptor is missing. What logfmt cuts is put in quotes.

--- a/src/apps/balancer.cpp
+++ b/src/apps/balancer.cpp
@@ -1,6 +1,7 @@
 // The daemon: a small program over the library. Environment, command line, configuration, signals, the loop.
 #include "flaxdoor/balancer.h"
 
+#include <fcntl.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -186,10 +187,19 @@
     boost::asio::steady_timer timer_;
 };
 
+// Started without one of the three standard descriptors: its number would go to what is opened next, and lines for standard
+// error into that.
+void fill_standard_descriptors() {
+    for (const int each : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+        if (::fcntl(each, F_GETFD) < 0) (void)::open("/dev/null", O_RDWR);  // takes the lowest that is free
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    fill_standard_descriptors();
     const flaxdoor::loop::Clock clock;
     flaxdoor::log::Descriptor standard_error(STDERR_FILENO);
     Logger log(standard_error, clock);
--- a/src/log/format.cpp
+++ b/src/log/format.cpp
@@ -71,7 +71,9 @@
         const std::size_t room = line_most - end_most - out_.size();
         if (key.size() + worded.size() > room) {
             cut_ = true;
-            if (key.size() + 2 > room || worded.front() != '"') return;
+            const auto* const text = std::get_if<std::string_view>(&value.held());
+            if (key.size() + 2 > room || !text) return;
+            worded = quoted(*text);  // also what logfmt writes bare
             worded = cut(std::move(worded), room - key.size());
         }
         out_ += key;
--- a/src/log/logger.cpp
+++ b/src/log/logger.cpp
@@ -114,7 +114,7 @@
         if (!sink_.take(queue_.front())) return false;
         queue_.pop();
     }
-    if (dropped_ == 0) return true;
+    if (dropped_ == 0) return sink_.pay();
     const std::array<core::Value, 1> values{dropped_};
     if (!sink_.take(
             line_of(options_.format, clock_.now(), events::log_dropped.level, events::log_dropped, values))) {
--- a/src/log/logger.h
+++ b/src/log/logger.h
@@ -53,7 +53,9 @@
     // While something is to be told that no further event may bring out, somebody is to call retry() now and then:
     // `on_waiting` is called each time that this begins.
     void on_waiting(std::function<void()> told) { on_waiting_ = std::move(told); }
-    [[nodiscard]] bool waiting() const { return dropped_ > 0 || !queue_.empty() || limiter_.owes(); }
+    [[nodiscard]] bool waiting() const {
+        return dropped_ > 0 || !queue_.empty() || limiter_.owes() || sink_.owes();
+    }
     void retry();
 
 private:
--- a/tests/log/log_test.cpp
+++ b/tests/log/log_test.cpp
@@ -1,6 +1,8 @@
 // Lines whatever bytes there are, a reader that reads nothing, half, or is gone, and what a flood may cost.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <stdlib.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -98,6 +100,9 @@
                     line(format, events::gateway_status_refused, {"Gateway", value, 409, "no"});
                 ASSERT_LE(out.size(), line_most);
                 ASSERT_EQ(out.find('\n'), out.size() - 1);
+                if (format == Format::logfmt) {
+                    ASSERT_NE(out.find(" name="), out.npos) << "cut, not left out";
+                }
                 if (format != Format::json) continue;
                 const json parsed = json::parse(out);  // throws where an escape is cut in two
                 const std::string name = parsed["name"];
@@ -208,6 +213,37 @@
 }
 
 // One event floods, another comes now and then; nobody reads. The queue's bounds hold, and the rare one is there.
+// A terminal that shows nothing more takes a part of a line and would wait for the rest: the test would not end.
+TEST(Logger, AStalledTerminalHoldsNothingUp) {
+    const int screen = ::posix_openpt(O_RDWR | O_NOCTTY);
+    ASSERT_TRUE(screen >= 0 && ::grantpt(screen) == 0 && ::unlockpt(screen) == 0);
+    const int terminal = ::open(::ptsname(screen), O_RDWR | O_NOCTTY);
+    ASSERT_GE(terminal, 0);
+    Hand clock;
+    Descriptor sink(terminal);
+    Logger log(sink, clock);
+    std::string told;  // lines of many lengths: one of them does not fit as a whole
+    for (std::size_t i = 0; !log.waiting(); ++i) {
+        const std::string text(1 + i * 37 % 211, 'x');
+        told += "store: " + text + "\n";
+        log.tell(events::store_trouble, text);
+    }
+    std::string shown;
+    const auto read = [&] {
+        std::array<char, 65536> room;
+        const auto got = ::read(screen, room.data(), room.size());
+        for (ssize_t i = 0; i < got; ++i) {
+            if (room[static_cast<std::size_t>(i)] != '\r') shown += room[static_cast<std::size_t>(i)];
+        }
+    };
+    for (; log.waiting(); log.retry()) read();
+    log.tell(events::drained);
+    while (!shown.ends_with("drained\n")) read();
+    EXPECT_EQ(shown, told + "drained\n");
+    ::close(terminal);
+    ::close(screen);
+}
+
 TEST(Logger, AFloodCostsTheRareOneNothing) {
     for (const bool rate : {false, true}) {
         Reader reader;
--- a/tests/log/reload_test.sh
+++ b/tests/log/reload_test.sh
@@ -54,3 +54,15 @@
     else:
         assert line.startswith("time="), line
 EOP
+# Without a standard error: its number is not left to a socket or to the loop, into which the lines would go.
+NODE_CONFIG=config.json "$balancer" 2>&- &
+job=$!
+tries=0
+until [ "$(readlink /proc/$job/fd/2)" = /dev/null ]; do
+    tries=$((tries + 1))
+    [ $tries -lt 200 ] || fail "standard error is $(readlink /proc/$job/fd/2)"
+    sleep 0.05
+done
+kill -TERM $job
+wait $job || fail "without standard error it ended with $?"
+job=
