--- a/lab/hunt/hunt.cpp
+++ b/lab/hunt/hunt.cpp
@@ -158,10 +158,10 @@
 Hunt hunt(const Plan& plan, const HuntOptions& options) {
     Hunt result;
     std::atomic<std::size_t> played{0};
-    const auto wrong = [&](const Values& values, std::uint64_t seed) {
+    const auto wrong = [&](const Values& values, std::uint64_t seed, const std::atomic<bool>* stop) {
         ++played;
         const Experiment experiment = experiment_of(values, seed);
-        return options.wrong ? options.wrong(experiment) : plainly_wrong(experiment, options.stop);
+        return options.wrong ? options.wrong(experiment) : plainly_wrong(experiment, stop);
     };
     const auto tell = [&](const std::string& what) {
         if (options.tell) options.tell(what);
@@ -176,17 +176,21 @@
     const auto seed_of = [&](std::size_t number) { return options.seed + number; };
     const auto sound = [](const Values& values) { return settings::check_values(values).empty(); };
 
+    std::atomic<std::size_t> looked_at{0};
     const auto found = first_that(options.draws, options.threads, options.stop, [&](std::size_t i) {
         const Values values = drawn(i);
-        return sound(values) && !wrong(values, seed_of(i)).empty();
+        const bool shows = sound(values) && !wrong(values, seed_of(i), options.stop).empty();
+        if (!options.stop || !options.stop->load()) ++looked_at;
+        return shows;
     });
-    result.drawn = found ? *found + 1 : options.draws;
+    result.drawn = found ? *found + 1 : looked_at.load();
     if (found) {
         Values smallest = drawn(*found);
         const std::uint64_t seed = seed_of(*found);
         Prey prey;
         prey.draw = *found;
-        prey.wrong = wrong(smallest, seed);
+        // What is written is told in whole, also where it is to stop: one world more.
+        prey.wrong = wrong(smallest, seed, nullptr);
         std::vector<std::string> subjects;
         for (const std::string& each : prey.wrong) subjects.push_back(subject(each));
         tell("world " + std::to_string(*found) + ": " + (prey.wrong.empty() ? "" : prey.wrong.front()));
@@ -196,7 +200,8 @@
             const auto candidates = smaller(smallest);
             const auto taken = first_that(
                 std::min(candidates.size(), left), options.threads, options.stop, [&](std::size_t i) {
-                    return sound(candidates[i]) && shows_one_of(wrong(candidates[i], seed), subjects);
+                    return sound(candidates[i]) &&
+                           shows_one_of(wrong(candidates[i], seed, options.stop), subjects);
                 });
             if (!taken) break;
             left -= *taken + 1;
@@ -204,7 +209,7 @@
             ++prey.steps;
             tell("smaller, step " + std::to_string(prey.steps));
         }
-        prey.wrong = wrong(smallest, seed);
+        if (prey.steps > 0) prey.wrong = wrong(smallest, seed, nullptr);
         const auto place = [&](const char* table, const char* key) {
             const std::size_t t = smallest.schema().index_of(table);
             return SettingPlace{t, smallest.schema().tables()[t].index_of(key), std::nullopt};
--- a/lab/real/play.cpp
+++ b/lab/real/play.cpp
@@ -91,11 +91,13 @@
         for (std::uint32_t b = 0; b < balancers_.size(); ++b) start(b);
         const bool ready = until(
             [&] {
-                return rosters_->heard_by_all() && std::all_of(balancers_.begin(), balancers_.end(),
-                                                               [](const auto& its) { return its.listening; });
+                return !faults_.empty() || (rosters_->heard_by_all() &&
+                                            std::all_of(balancers_.begin(), balancers_.end(),
+                                                        [](const auto& its) { return its.listening; }));
             },
             Clock::now() + starts_within);
         if (stopped()) return false;
+        if (!faults_.empty()) throw std::runtime_error("the balancers do not start: " + faults_.front());
         if (!ready) throw std::runtime_error("the balancers do not start:\n" + logs());
         // From here on the world's clock runs; what was noted before stands at 0.
         recorder_.begin(Clock::now() + milliseconds(20));
@@ -207,7 +209,8 @@
             if (status != 0) complain(b, status);
             return;
         }
-        if (!its.listening) return;  // killed, or it never came up
+        if (!its.listening)
+            return complain(b, status);  // at its start; one that was killed does not come here
         its.listening = false;
         links_.read_out(b);
         recorder_.note(now(), Event::ended, b);
--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -591,6 +591,15 @@
     const Hunt nothing = hunt(plan, options);
     EXPECT_FALSE(nothing.prey);
     EXPECT_EQ(nothing.drawn, 2u);
+    std::atomic<bool> stop{false};
+    options.stop = &stop;
+    options.draws = 5;
+    std::size_t looked_at = 0;
+    options.wrong = [&](const Experiment&) {
+        stop = ++looked_at == 3;
+        return std::vector<std::string>();
+    };
+    EXPECT_EQ(hunt(plan, options).drawn, 2u) << "the third was being looked at, the others never were";
 }
 
 // A budget that ends at the instant at which the answer comes, a server that dies as it is sent to, an alarm
--- a/tests/lab/real_test.cpp
+++ b/tests/lab/real_test.cpp
@@ -273,6 +273,14 @@
     options.stop = nullptr;
     options.program = "/nonexistent/balancer";
     EXPECT_THROW((void)play(patient(), options), std::system_error);
+    options.program = "/bin/false";  // ends at its start: with how, and not after the time for a start
+    try {
+        (void)play(patient(), options);
+        ADD_FAILURE() << "it did not start";
+    } catch (const std::runtime_error& error) {
+        EXPECT_NE(std::string(error.what()).find("balancer 0 ended with 1"), std::string::npos)
+            << error.what();
+    }
     EXPECT_EQ(::waitpid(-1, nullptr, WNOHANG), -1);  // no child of any kind
 }
 
