Lab: in real mode a killed balancer's last bytes were sent before its death

Ruled out: the daemon; the process was dead by then. Change: the recorder puts a sending between a balancer's kill and its next start at the kill.

--- a/lab/real/recorder.cpp
+++ b/lab/real/recorder.cpp
@@ -1,6 +1,7 @@
 #include "real/recorder.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace flaxdoor::lab::real {
@@ -34,9 +35,19 @@
 }  // namespace
 
 std::vector<Record> Recorder::finish() {
-    std::stable_sort(records_.begin(), records_.end(), [](const Record& a, const Record& b) {
+    const auto in_order = [](const Record& a, const Record& b) {
         return a.at != b.at ? a.at < b.at : rank(a.event) < rank(b.event);
-    });
+    };
+    std::stable_sort(records_.begin(), records_.end(), in_order);
+    // A node sees what a killed balancer had written after its death: it was sent before that.
+    std::map<std::uint32_t, std::uint64_t> killed_at;
+    for (Record& record : records_) {
+        if (record.event == Event::killed) killed_at[record.who] = record.at;
+        if (record.event == Event::came_up) killed_at.erase(record.who);
+        const auto dead = record.event == Event::sending ? killed_at.find(record.who) : killed_at.end();
+        if (dead != killed_at.end()) record.at = dead->second;
+    }
+    std::stable_sort(records_.begin(), records_.end(), in_order);
     records_.push_back({records_.empty() ? 0 : records_.back().at, Event::over, 0, 0, 0, 0, 0});
     return std::move(records_);
 }
--- a/tests/lab/real_test.cpp
+++ b/tests/lab/real_test.cpp
@@ -178,6 +178,22 @@
                                          Stall{"ClientStandsStill", 1'000'000, 1'000'100}),
                          [](const auto& its) { return its.param.name; });
 
+// Bytes that were under way when a balancer was killed reach a node after its death.
+TEST(Records, WhatAKilledBalancerHadWrittenWasSentBeforeItsDeath) {
+    Recorder recorder;
+    recorder.note(10, Event::killed, 0);
+    recorder.note(14, Event::sending, 0, 1, 7, 1);
+    recorder.note(20, Event::came_up, 0);
+    recorder.note(25, Event::sending, 0, 1, 8, 1);
+    std::vector<std::pair<Event, std::uint64_t>> seen;
+    for (const Record& each : recorder.finish()) seen.emplace_back(each.event, each.at);
+    EXPECT_EQ(seen, (std::vector<std::pair<Event, std::uint64_t>>{{Event::sending, 10},
+                                                                  {Event::killed, 10},
+                                                                  {Event::came_up, 20},
+                                                                  {Event::sending, 25},
+                                                                  {Event::over, 25}}));
+}
+
 // --------------------------------------------------------------------------------------------- what is refused
 
 struct Refused {
