Core: a keyed repeat whose bytes come after its window is not sent

Ruled out: the group (both servers in cell 3), and the module's own window check, which was right when it was made. At fault: Core::on_attempt_sending and Connection::connected/write of src/http/back.cpp, which send whatever came up.

Change: the core knows the class's window (the shorter one over a reload) and asks it ahead of each write of an attempt, also one that continues; the attempt ends as never sent then. Stand-ins: a listener whose backlog is full is one piece for BookingNode and Listener.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -118,9 +118,10 @@
         Settings changed = settings;
         add_unknown_tenant(changed);
         pool->policy->on_settings(now(), changed);
-        // Calls that wait in the queue have not been told to the module: they are what their names are now.
+        // Calls that wait in the queue have not been told to the module: they are what their names are now. The
+        // others stay what they were when it heard of them.
         for (auto& [call, open] : open_) {
-            if (open.call.pool == id && !open.told) follow_names(open, pool->settings, settings);
+            if (open.call.pool == id) follow_names(open, pool->settings, settings);
         }
         pool->settings = settings;
         pump();
@@ -168,8 +169,7 @@
         if (id) *id = number;
         Open& open = open_[number];
         open.id = number;
-        open.effect = classes[class_of(call)].effect;
-        open.group = classes[class_of(call)].group;
+        open.be_of(classes[class_of(call)]);
         open.front = &front;
         open.token = token;
         const Time received = call.received > Time{} ? std::min(call.received, at) : at;
@@ -213,14 +213,18 @@
         Sent* const sent = find_sent(key);
         if (!sent) return false;
         Open& open = open_.at(key.call);
-        if (open.answered) return false;
+        Pool* const pool = find_pool(open.call.pool);
+        // Guards against a repeat whose connection comes up, or whose last bytes find room, after the window in
+        // which servers drop it: the module judged it when it chose the server (rule 2).
+        if (open.answered || !pool || !open.within_window(*sent, clock_.now(), pool->settings.tick))
+            return false;
         if (!open.sending_told) {
             bool wanted = true;
             tell([&] { wanted = open.front->on_sending(open.token); });
             if (!wanted) return false;
             open.sending_told = true;
         }
-        sent->sending = true;
+        if (!std::exchange(sent->sending, true)) sent->began = clock_.now();
         return true;
     }
 
@@ -298,6 +302,7 @@
         std::optional<Handle> expiry;
         bool out = true;
         bool sending = false;      // its first byte was handed over
+        Time began{};              //   then
         bool cancellable = false;  // its back has it, and has not been told
         bool may_have_run = false;
         bool own_fault = false;
@@ -310,6 +315,7 @@
         Call call;
         Effect effect = Effect::unsafe;
         Group group = Group::all;
+        Micros window{};  // the shortest while it was open
         Front* front = nullptr;
         std::uint64_t token = 0;
         Time deadline{};
@@ -326,6 +332,20 @@
             return std::any_of(attempts.begin(), attempts.end(),
                                [](const Sent& s) { return s.out ? s.sending : s.may_have_run; });
         }
+        void be_of(const ClassSettings& its) {
+            effect = its.effect;
+            group = its.group;
+            window = its.window;
+        }
+        // May bytes of this attempt go out at that time, or may servers have forgotten by then what they drop
+        // repeats of? Each other attempt that may have run began when its first byte was handed over.
+        bool within_window(const Sent& sent, Time at, Micros margin) const {
+            return effect != Effect::keyed ||
+                   std::none_of(attempts.begin(), attempts.end(), [&](const Sent& s) {
+                       return &s != &sent && s.began > Time{} && (s.out || s.may_have_run) &&
+                              at + margin >= s.began + window;
+                   });
+        }
         // Is a repeat harmless although it may have run?
         bool repeatable() const {
             return effect == Effect::safe || (effect == Effect::keyed && group == Group::all);
@@ -461,9 +481,14 @@
         if (call.class_index < 0) return;
         call.class_index = place_of(now.classes, before.classes[class_of(call)].name);
         if (call.class_index >= 0) {
-            open.effect = now.classes[class_of(call)].effect;
-            open.group = now.classes[class_of(call)].group;
+            const ClassSettings& its = now.classes[class_of(call)];
+            if (!open.told) {
+                open.be_of(its);
+            } else if (its.effect == open.effect && its.group == open.group) {
+                open.window = std::min(open.window, its.window);
+            }
         }
+        if (open.told) return;
         Tenant& tenant = call.tenant;
         if (tenant.kind != Tenant::Kind::known) return;
         const auto number = static_cast<std::size_t>(tenant.number);
@@ -587,7 +612,7 @@
         if (!pool) return;
         if (open.answered) return cancel(open, *sent, *pool);
         open.started = event.key.number;
-        sent->sending = true;
+        if (!std::exchange(sent->sending, true)) sent->began = now_;
         drop(open.guard);
         drop(sent->expiry);
         if (open.call.started_limit > Micros{0}) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -102,7 +102,8 @@
     void set_own_limit(Micros limit);
 
     // ----------------------------------------------------------------------------------------------- backs
-    // Its first byte is about to be handed over. False: it must not be; the attempt is to end as moot.
+    // Bytes of it are about to be handed over: asked ahead of the first, and again wherever it had to wait with the
+    // others. False: they must not be, and the attempt is to end as moot.
     bool on_attempt_sending(AttemptKey attempt);
     void on_attempt_started(AttemptKey attempt, Micros latency, std::unique_ptr<Payload> head);
     void on_attempt_end(AttemptResult result);
--- a/src/http/back.cpp
+++ b/src/http/back.cpp
@@ -198,7 +198,6 @@
     private:
         void begin(const core::Attempt& attempt, std::string bytes) {
             key_ = attempt.key;
-            sent_some_ = false;
             since_ = owner_.clock_.now();
             const bool head = static_cast<RequestPayload&>(*attempt.payload).message.method == "HEAD";
             (void)machine_.begin(std::move(bytes), head);
@@ -221,8 +220,7 @@
         void write() {
             const std::string_view out = machine_.output();
             if (out.empty() || blocked_) return;
-            if (!sent_some_ && !owner_.core_.on_attempt_sending(*key_)) return end(Outcome::moot);
-            sent_some_ = true;
+            if (!owner_.core_.on_attempt_sending(*key_)) return end(Outcome::moot);
             const loop::Written written = loop::write_some(socket_, out);
             machine_.wrote(written.bytes);
             if (written.broken) return take(machine_.reset());
@@ -332,7 +330,6 @@
         std::optional<Timers::Handle> timer_;
         Time since_{};  // when the attempt was sent, or when the connection was put by
         bool connected_ = false;
-        bool sent_some_ = false;
         bool blocked_ = false;  // the socket takes no more for now
         bool reading_ = false;
         bool closed_ = false;
--- a/standins/booking_node.cpp
+++ b/standins/booking_node.cpp
@@ -8,9 +8,11 @@
 #include <boost/intrusive/list.hpp>
 #include <cmath>
 #include <deque>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
+#include "backlog.h"
 #include "http_text.h"
 
 namespace flaxdoor::standins {
@@ -363,9 +365,6 @@
 
     void accepted(tcp::socket socket) {
         Error error;
-        const auto peer = socket.remote_endpoint(error);
-        for (const auto& filler : fillers)
-            if (!error && filler.local_endpoint(error) == peer) return;  // our own, from vanish()
         socket.set_option(tcp::no_delay(true), error);
         socket.non_blocking(true, error);
         ++counts.accepted;
@@ -1154,7 +1153,7 @@
         work_timer.cancel();
         work_armed = false;
         close_listener();
-        fillers.clear();
+        full.reset();
         close_all(true, "died");
         // What a worker had taken up has had its effect; what was queued never will.
         for (auto& job : std::exchange(due, {}))
@@ -1187,19 +1186,9 @@
 
     // A full backlog drops what asks to connect, as a machine does that is cut off.
     void vanish() {
-        if (dead || !fillers.empty()) return;
+        if (dead || full) return;
         frozen = true;
-        if (!acceptor.is_open()) return;
-        ::listen(acceptor.native_handle(), 0);
-        for (int i = 0; i < 2; ++i) {
-            Error error;
-            tcp::socket filler(loop);
-            filler.open(address.protocol(), error);
-            filler.non_blocking(true, error);
-            // Not through Asio: it would wait for the end of the connect.
-            ::connect(filler.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
-            fillers.push_back(std::move(filler));
-        }
+        if (acceptor.is_open()) full.emplace(acceptor);
     }
 
     void resume() {
@@ -1222,21 +1211,11 @@
     void reappear(bool reset) {
         if (dead) return;
         if (reset) close_all(true, "reset after the cut");
+        std::vector<tcp::socket> waiting;
+        if (acceptor.is_open() && full) waiting = full->make_room(backlog);
+        full.reset();
         resume();
-        if (acceptor.is_open()) ::listen(acceptor.native_handle(), backlog);
-        if (!fillers.empty()) accept_some_after_fillers();
-    }
-
-    void accept_some_after_fillers() {
-        // The fillers that came up are taken out before anything else is let in.
-        for (int i = 0; i < 64 && acceptor.is_open() && connection_waits(); ++i) {
-            Error error;
-            tcp::socket socket(loop);
-            acceptor.accept(socket, error);
-            if (error) break;
-            accepted(std::move(socket));
-        }
-        fillers.clear();
+        for (tcp::socket& socket : waiting) accepted(std::move(socket));
     }
 
     void shut() {
@@ -1248,7 +1227,7 @@
         idle_timer.cancel();
         accept_timer.cancel();
         stall_timer.cancel();
-        fillers.clear();
+        full.reset();
         settings.on_event = nullptr;
         close_all(false, "the node's end");
         due.clear();
@@ -1317,7 +1296,7 @@
     std::vector<NodeEvent> events;
     std::size_t told = 0;
     std::array<std::size_t, 13> kinds{};
-    std::vector<tcp::socket> fillers;
+    std::optional<FullBacklog> full;  // while it has vanished
 };
 
 BookingNode::BookingNode(asio::io_context& loop, Settings settings)
--- a/standins/peers.cpp
+++ b/standins/peers.cpp
@@ -159,11 +159,28 @@
     guard_.bind(address_);
 }
 
+void Listener::vanish() {
+    acceptor_.cancel();
+    full_.emplace(acceptor_);
+}
+
+void Listener::reappear() {
+    if (!full_) return;
+    for (tcp::socket& socket : full_->make_room(asio::socket_base::max_listen_connections))
+        take(std::move(socket));
+    full_.reset();
+    accept();
+}
+
+void Listener::take(tcp::socket socket) {
+    wires.push_back(std::make_shared<Wire>(std::move(socket)));
+    wires.back()->start();
+}
+
 void Listener::accept() {
     acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-        if (error) return;
-        wires.push_back(std::make_shared<Wire>(std::move(socket)));
-        wires.back()->start();
+        if (error || full_) return;
+        take(std::move(socket));
         accept();
     });
 }
--- a/standins/peers.h
+++ b/standins/peers.h
@@ -14,11 +14,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "standins/backlog.h"
+
 namespace flaxdoor::standins::peers {
 
 using boost::asio::ip::tcp;
@@ -74,15 +77,21 @@
     tcp::endpoint address() const { return address_; }
     // Refuses from now on. The port stays taken: it must not become another test's.
     void close();
+    // Whoever connects from now on gets no answer, until it is to be found again.
+    void vanish();
+    void reappear();
 
     std::vector<std::shared_ptr<Wire>> wires;  // in the order in which they came
 
 private:
     void accept();
 
+    void take(tcp::socket socket);
+
     tcp::acceptor acceptor_;
     tcp::socket guard_;
     tcp::endpoint address_;
+    std::optional<FullBacklog> full_;
 };
 
 // Counts what it runs, answers 200 with its name, and holds answers when told to.
@@ -150,7 +159,8 @@
 class DeafPeer {
 public:
     explicit DeafPeer(boost::asio::io_context& loop);
-    std::string address() const { return text_of(acceptor_.local_endpoint()); }
+    tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+    std::string address() const { return text_of(endpoint()); }
     std::size_t accepted() const { return sockets_.size(); }
     // Something of a request is there, unread.
     bool something_came() { return !sockets_.empty() && sockets_.front().available() > 0; }
--- a/tests/core/hard_cases_test.cpp
+++ b/tests/core/hard_cases_test.cpp
@@ -499,6 +499,47 @@
     EXPECT_TRUE(other.back->upstreams.at(11).second) << "taken back by who was told";
 }
 
+// ---------------------------------------------------------------------------------------------- windows
+
+// A second attempt's bytes come to be sent so long after the first one's, which ended like this.
+TEST_F(HardCase, ARepeatIsSentWithinItsWindowOrNotAtAll) {
+    struct Row {
+        const char* what;
+        int class_index;
+        Outcome first;
+        Micros after;
+        Micros window;  // a reload made of it
+        bool sent;
+    };
+    const Micros window = ms(400);
+    std::uint64_t token = 0;
+    for (const Row& row : std::vector<Row>{
+             {"within", keyed_zone, Outcome::error, ms(350), window, true},
+             {"a tick is left", keyed_zone, Outcome::error, ms(399), window, false},
+             {"over", keyed_all, Outcome::error, ms(450), window, false},
+             {"over, and the first is in doubt", keyed_cell, Outcome::reset, ms(450), window, false},
+             {"over, and the first never ran", keyed_zone, Outcome::full, ms(450), window, true},
+             {"over, and safe", safe, Outcome::error, ms(450), window, true},
+             {"the shorter of two windows counts", keyed_zone, Outcome::error, ms(350), ms(300), false},
+             {"so does the old one", keyed_zone, Outcome::error, ms(450), ms(900), false}}) {
+        SCOPED_TRACE(row.what);
+        const Time began = clock.at;
+        back->answer(one_out(row.class_index, ++token), row.first);
+        for (int i = 0; i < 300 && back->out.empty(); ++i) pass(ms(1));
+        ASSERT_EQ(back->out.size(), 1u) << "a repeat connects";
+        const auto repeat = last_sent();
+        Settings changed = settings();
+        for (auto& c : changed.classes) c.window = row.window;
+        core->change_pool(pool, changed);
+        pass(began + row.after - clock.at);
+        EXPECT_EQ(core->on_attempt_sending(repeat), row.sent);
+        core->change_pool(pool, settings());
+        while (!back->out.empty()) back->end(*back->out.begin(), Outcome::moot);
+        pass(ms(1500));
+        EXPECT_EQ(front.finals(token), 1u);
+    }
+}
+
 // ---------------------------------------------------------------------------------------------- lists
 
 TEST_F(HardCase, OneNameRemovedAndAddedInOneList) {
--- a/tests/suite/peers.h
+++ b/tests/suite/peers.h
@@ -297,9 +297,10 @@
         return "POST /api HTTP/1.1\r\n" + call(std::move(id), "once", budget_ms) +
                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
     }
-    std::string keyed(int budget_ms = 5000, std::string id = {}) {
+    std::string keyed(int budget_ms = 5000, std::string id = {}, std::string_view body = "body") {
         return "POST /api HTTP/1.1\r\n" + call(std::move(id), "book it", budget_ms) + "Idempotency-Key: k" +
-               std::to_string(ids_) + "\r\nContent-Length: 4\r\n\r\nbody";
+               std::to_string(ids_) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               std::string(body);
     }
 
     asio::io_context loop{1};
