Module: a copy of an attempt's start that nothing needs is gone

Change: wait_gap() takes the time by value, and no attempt has been added when it is reached, so the copy of it said nothing. No decision changes.

--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -913,10 +913,9 @@
         }
         // Guards against small waiting rooms that many balancers fill unseen by each other: what was turned
         // away without having run goes on through the gate without a gap, for its first attempts only.
-        const Micros since = a.sent_at;
         const bool elsewhere = !a.may_have_run && !r.request.pinned;
         if (elsewhere && r.attempts.size() <= at_once && send_retry(slot, now)) return;
-        wait_gap(slot, since, now);
+        wait_gap(slot, a.sent_at, now);
     }
 
     // Is there any upstream to which a further attempt would be allowed?
