HTTP: time told at the first byte, connections rest before reuse, a close seen behind bytes

Read line by line beside it: (1) the connection used last was used again first, so a second answer that comes some milliseconds late is the likeliest taken for the next request's; bytes on a resting one closed that one only. (2) The end of a client that is not read (more than 80 KiB ahead) was looked for each 250 ms, and an attempt may begin 0.1 s after the close at the latest.

Change: the message is written when the connection is up. Of the kept ones the newest that has rested 10 ms goes first, else the oldest; a server that spoke unasked, also in bytes not yet read, gets no unrested one for 10 s. While such clients wait they are looked at each 25 ms. An answer that comes within the round trip of a reused, rested connection still can't be told apart.

--- a/src/http/back.cpp
+++ b/src/http/back.cpp
@@ -24,6 +24,8 @@
 
 constexpr double idle_share = 0.9;  // of the told idle limit, after which a kept connection is closed here
 constexpr std::size_t read_most = 64 * 1024;
+// A server that has spoken unasked is in doubt for so long (BackOptions::rest).
+constexpr Micros doubted_for = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -64,20 +66,15 @@
 
     void send(core::Attempt attempt) {
         const auto found = upstreams_.find(attempt.upstream);
-        const Time now = clock_.now();
         if (found == upstreams_.end()) return report_unsent(attempt.key, false);
-        // Said anew with each attempt, in the one message that all of them share.
-        Request& message = static_cast<RequestPayload&>(*attempt.payload).message;
-        set_budget(message, attempt.expires - now);
-        std::string bytes = to_bytes(message);
         if (const Link link = take_idle(found->second)) {
             attempts_.emplace(attempt.key, link);
-            return link->reuse(attempt, std::move(bytes));
+            return link->reuse(attempt);
         }
         if (!make_room()) return report_unsent(attempt.key, true);
         const auto link = std::make_shared<Connection>(*this, attempt.upstream, found->second.address);
         attempts_.emplace(attempt.key, link);
-        link->connect(attempt, std::move(bytes));
+        link->connect(attempt);
     }
 
     void cancel(core::AttemptKey key) {
@@ -115,6 +112,7 @@
         tcp::endpoint address;
         bool takes_work = true;
         std::vector<Link> idle;  // the one used last stands last
+        Time doubted_until{};    // it has spoken on a connection that carried nothing
     };
 
     // One connection, which carries one exchange at a time. Its end is always listened for, also while it is
@@ -135,8 +133,8 @@
         Time since() const { return since_; }
         bool is_quiet() { return loop::quiet(socket_); }
 
-        void connect(const core::Attempt& attempt, std::string bytes) {
-            begin(attempt, std::move(bytes));
+        void connect(const core::Attempt& attempt) {
+            begin(attempt);
             error_code error;
             loop::open(socket_, error);
             if (error && owner_.give_way()) loop::open(socket_, error);
@@ -151,10 +149,16 @@
             });
         }
 
-        void reuse(const core::Attempt& attempt, std::string bytes) {
+        void reuse(const core::Attempt& attempt) {
             disarm();
-            begin(attempt, std::move(bytes));
-            write();
+            begin(attempt);
+            say();
+        }
+
+        // Of one that is not quiet: what came, and its end.
+        void hear_out() {
+            if (!closed_) read();
+            close();
         }
 
         // The connection goes with the attempt: what may still come on it belongs to no other.
@@ -196,13 +200,21 @@
         }
 
     private:
-        void begin(const core::Attempt& attempt, std::string bytes) {
+        void begin(const core::Attempt& attempt) {
             key_ = attempt.key;
             since_ = owner_.clock_.now();
-            const bool head = static_cast<RequestPayload&>(*attempt.payload).message.method == "HEAD";
-            (void)machine_.begin(std::move(bytes), head);
-            if (owner_.options_.keep_errors)
-                payload_ = std::static_pointer_cast<RequestPayload>(attempt.payload);
+            expires_ = attempt.expires;
+            payload_ = std::static_pointer_cast<RequestPayload>(attempt.payload);
+        }
+
+        // The time left is told as it is now: the connection may have taken long to come up. Said anew with each
+        // attempt, in the one message that all of them share.
+        void say() {
+            Request& message = payload_->message;
+            set_budget(message, expires_ - owner_.clock_.now());
+            (void)machine_.begin(to_bytes(message), message.method == "HEAD");
+            if (!owner_.options_.keep_errors) payload_.reset();
+            write();
         }
 
         void connected(const error_code& failed) {
@@ -214,7 +226,7 @@
             if (!owner_.takes_work(upstream_, address_)) return end(Outcome::moot);
             connected_ = true;
             await_read();
-            write();
+            say();
         }
 
         void write() {
@@ -249,7 +261,10 @@
                 const loop::Read got = loop::read_some(socket_, room);
                 switch (got.kind) {
                     case loop::Read::Kind::nothing: return;
-                    case loop::Read::Kind::bytes: take(machine_.receive(got.bytes)); break;
+                    case loop::Read::Kind::bytes:
+                        if (!key_) owner_.doubt(upstream_);
+                        take(machine_.receive(got.bytes));
+                        break;
                     case loop::Read::Kind::end: return take(machine_.receive_end());
                     case loop::Read::Kind::broken: return take(machine_.reset());
                 }
@@ -304,7 +319,8 @@
             result.own_fault = own_fault;
             result.whole = connected_ && machine_.whole();
             result.latency = owner_.clock_.now() - since_;
-            if (payload_) payload_->error_answer.reset();  // of an attempt before this one
+            if (payload_ && owner_.options_.keep_errors)
+                payload_->error_answer.reset();  // of an attempt before
             payload_.reset();
             owner_.attempts_.erase(result.key);
             close();
@@ -325,7 +341,8 @@
         const tcp::endpoint address_;
         tcp::socket socket_;
         ClientMachine machine_;
-        std::shared_ptr<RequestPayload> payload_;  // where errors are kept
+        std::shared_ptr<RequestPayload> payload_;  // until it is said, and further where errors are kept
+        Time expires_{};                           // of the attempt
         std::optional<core::AttemptKey> key_;      // of the attempt that it carries
         std::optional<Timers::Handle> timer_;
         Time since_{};  // when the attempt was sent, or when the connection was put by
@@ -355,15 +372,28 @@
     // Guards against a kept connection that has ended unnoticed so far: what is written to it would be a
     // reset, and may have run.
     Link take_idle(Upstream& upstream) {
+        const Time now = clock_.now();
         while (!upstream.idle.empty()) {
-            Link link = std::move(upstream.idle.back());
-            upstream.idle.pop_back();
+            const auto young = [&](const Link& link) { return now - link->since() < options_.rest; };
+            auto chosen = std::find_if(upstream.idle.begin(), upstream.idle.end(), young);
+            if (chosen != upstream.idle.begin()) {
+                --chosen;  // of those that have rested, the one used last
+            } else if (now < upstream.doubted_until) {
+                return nullptr;
+            }
+            const Link link = std::move(*chosen);
+            upstream.idle.erase(chosen);
             if (link->is_quiet()) return link;
-            link->close();
+            link->hear_out();
         }
         return nullptr;
     }
 
+    void doubt(UpstreamId id) {
+        const auto found = upstreams_.find(id);
+        if (found != upstreams_.end()) found->second.doubted_until = clock_.now() + doubted_for;
+    }
+
     // At the cap, the connection that was kept longest makes room.
     bool make_room() { return budget_.open < budget_.most || give_way(); }
 
--- a/src/http/back.h
+++ b/src/http/back.h
@@ -8,6 +8,7 @@
 //            is this program's own want (no descriptor, no port, the cap on connections) ends it as moot.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -35,6 +36,10 @@
     bool keep_errors = false;  // RequestPayload::error_answer
     Micros latency_floor{};    // answers that come sooner are told as this late: core::latency_floor()
     std::size_t body = body_most;
+    // Nothing in HTTP/1.1 tells a late second answer from the answer to the next request: a connection that has rested
+    // for so long after its last one goes before one that has not, and of a server that spoke unasked lately no other
+    // is used again.
+    Micros rest = std::chrono::milliseconds(10);
 };
 
 class Back final : public core::Back {
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -27,6 +27,8 @@
 constexpr Micros room_after = std::chrono::milliseconds(100);
 constexpr std::size_t most_looked_at = 4;     // connections, when one has to give way
 constexpr std::size_t read_most = 64 * 1024;  // at once
+// A client whose further bytes wait in its socket ends behind them unseen by a read: so often it is looked for.
+constexpr auto behind_every = std::chrono::milliseconds(25);
 
 }  // namespace
 
@@ -43,7 +45,8 @@
           intake_(intake),
           acceptor_(loop),
           retry_(loop),
-          sweep_(loop) {}
+          sweep_(loop),
+          behind_(loop) {}
 
     void listen(const tcp::endpoint& address) {
         error_code error;
@@ -77,6 +80,7 @@
         acceptor_.close(ignored);
         retry_.cancel();
         sweep_.cancel();
+        behind_.cancel();
         const auto held = std::move(connections_);
         connections_.clear();
         for (const auto& [connection, owned] : held) connection->close();
@@ -280,6 +284,7 @@
             settle();
             await_read();
             await_write();
+            if (call_ && unread()) owner_.look_behind_soon();
             owner_.accept_if_waiting();
         }
 
@@ -583,13 +588,25 @@
             for (const Kind kind : {fresh, coming, asked_idle, other_idle, writing, lingering}) {
                 close_overdue(lists_[kind], now, kind == asked_idle || kind == other_idle);
             }
+            accept_if_waiting();
+            sweep();
+        }));
+    }
+
+    // Guards against work for clients that have gone: while there are such that are not read.
+    void look_behind_soon() {
+        if (looks_behind_) return;
+        looks_behind_ = true;
+        behind_.expires_after(behind_every);
+        behind_.async_wait(alive_.guard([this](error_code error) {
+            looks_behind_ = false;
+            if (error) return;
             std::vector<std::shared_ptr<Connection>> behind;
             for (Connection* const connection : lists_[waiting]) {
                 if (connection->unread()) behind.push_back(connection->shared_from_this());
             }
             for (const auto& connection : behind) connection->look_behind();
-            accept_if_waiting();
-            sweep();
+            if (!behind.empty()) look_behind_soon();
         }));
     }
 
@@ -621,12 +638,14 @@
     tcp::acceptor acceptor_;
     asio::steady_timer retry_;
     asio::steady_timer sweep_;
+    asio::steady_timer behind_;
     std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
     std::array<List, kinds> lists_;
     std::size_t asked_ = 0;  // connections that have asked
     FrontFigures figures_;
     bool accepting_ = false;  // an accept is under way
     bool posted_ = false;
+    bool looks_behind_ = false;  // behind_ is set
     bool draining_ = false;
     bool winding_down_ = false;
     bool stopped_ = false;
--- a/tests/suite/crossings_test.cpp
+++ b/tests/suite/crossings_test.cpp
@@ -67,6 +67,20 @@
     EXPECT_LT(slow.bytes().size(), body.size());
 }
 
+// A connection that takes long to come up: what its server is told is what is left by then.
+TEST(Crossings, TheTimeToldIsWhatIsLeftOnceItIsConnected) {
+    Stage s(1);
+    s.upstreams[0]->vanish();
+    const auto client = s.start_with_client();
+    client->say(s.once(5000));
+    s.until([&] { return connecting_to(s.upstreams[0]->address()); });
+    pass(s, std::chrono::milliseconds(300));
+    s.upstreams[0]->reappear();
+    const auto [wire, request] = s.request();
+    EXPECT_LE(std::stoi(header(request, "X-Budget-Ms")), 5000 - 300);
+    s.pass(*wire, *client);
+}
+
 // ---------------------------------------------------------------------------------------------- watches
 
 // Where lists are pushed, a watch that ends, or falls silent, is opened anew at once: before a request that came after
