Answers with no length end with their connection; crossings over real connections

Change: such an answer is whole when its connection ends in order, bounded as others, and the connection is not used again; a reset of it may have run. Ahead of its close the listener drops what asks for a connection (a filter on SYN, no rights needed; nothing where the system has none), so the backlog can be emptied for good. Crossings: a client that leaves while its request waits for a server, a connection or a retry; what lay unread at the end; SIGHUP and SIGTERM together; a reset watch with a reload and a whole list that leaves out who drains.

--- a/src/http/client_machine.cpp
+++ b/src/http/client_machine.cpp
@@ -71,7 +71,10 @@
     return std::nullopt;
 }
 
-std::optional<ClientResult> ClientMachine::receive_end() { return broken(); }
+std::optional<ClientResult> ClientMachine::receive_end() {
+    if (state_ == ClientState::exchanging && reader_ && reader_->ends_here()) return answered();
+    return broken();
+}
 std::optional<ClientResult> ClientMachine::reset() { return broken(); }
 
 std::optional<ClientResult> ClientMachine::broken() {
@@ -92,7 +95,7 @@
 std::optional<ClientResult> ClientMachine::answered() {
     ClientResult result;
     // An answer to a request that is not whole yet leaves the framing in doubt.
-    result.reusable = whole_ && reader_->keep_alive() && in_.empty();
+    result.reusable = whole_ && reader_->keep_alive() && in_.empty() && !reader_->ends_here();
     result.answer = std::move(reader_->message());
     move(result.reusable ? ClientSignal::answered : ClientSignal::last_answered);
     return result;
--- a/src/http/client_machine.h
+++ b/src/http/client_machine.h
@@ -75,7 +75,7 @@
 
     // What has come.
     [[nodiscard]] std::optional<ClientResult> receive(std::string_view bytes);
-    // The upstream has ended its sending.
+    // The upstream has ended its sending, which also ends an answer that tells no length.
     [[nodiscard]] std::optional<ClientResult> receive_end();
     // The connection is broken, or was never made.
     [[nodiscard]] std::optional<ClientResult> reset();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -471,8 +471,10 @@
         }));
     }
 
-    // Guards against a request lost with the listener: the machine has accepted whoever waits in the backlog.
+    // Guards against a request lost with the listener: the machine has accepted whoever waits in the backlog, and takes
+    // up nobody from here to the close.
     void take_the_last() {
+        if (acceptor_.is_open()) loop::take_no_more(acceptor_);
         while (acceptor_.is_open()) {
             if (!accept_one()) return;
         }
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -350,10 +350,7 @@
         left_ = static_cast<std::size_t>(length);
         return true;
     }
-    if (std::is_same_v<Message, Response>) {
-        refuse(400, "its end is not told");
-        return false;
-    }
+    if (std::is_same_v<Message, Response>) framing_ = Framing::connection;
     return true;
 }
 
@@ -366,6 +363,12 @@
         bytes.consume(bytes.size() - rest.size());
         return progress;
     }
+    if (framing_ == Framing::connection) {
+        if (bytes.size() > body_limit_ - message_.body.size()) return refuse(413, "body too large");
+        message_.body.append(bytes.view());
+        bytes.consume(bytes.size());
+        return Progress::more;
+    }
     const auto n = std::min(left_, bytes.size());
     message_.body.append(bytes.view().substr(0, n));
     bytes.consume(n);
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -80,8 +80,8 @@
 // Message is Request or Response. Where the end of a message is told must be clear, and told in one way:
 //  - a request with both Content-Length and Transfer-Encoding, or with either one twice (also twice the
 //    same), is refused, as is a coding other than chunked;
-//  - so is a response, but the same Content-Length twice is taken, as RFC 9112, 6.3 allows; and one that
-//    would end with its connection is refused, since it can't be told from one that was cut short.
+//  - so is a response, but the same Content-Length twice is taken, as RFC 9112, 6.3 allows; and one that tells no
+//    length ends with its connection, which must end in order: a reset is no end.
 template <typename Message>
 class Reader {
 public:
@@ -92,6 +92,8 @@
     // Takes from the front of `bytes` what belongs to this message. To be called no more after `whole` or
     // `bad`.
     [[nodiscard]] Progress take(ByteQueue& bytes);
+    // Nothing more will come, and its connection was ended in order: is the message whole by that?
+    [[nodiscard]] bool ends_here() const { return header_done_ && framing_ == Framing::connection; }
 
     bool header_done() const { return header_done_; }
     Message& message() { return message_; }
@@ -101,7 +103,7 @@
     const Fault& fault() const { return fault_; }
 
 private:
-    enum class Framing : std::uint8_t { none, length, chunked };
+    enum class Framing : std::uint8_t { none, length, chunked, connection };
 
     Progress take_header(ByteQueue& bytes);
     Progress parse_header(std::string block);
--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -1,5 +1,6 @@
 #include "loop/sockets.h"
 
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -39,6 +40,15 @@
     hand_over(::accept4(acceptor.native_handle(), nullptr, nullptr, SOCK_CLOEXEC), socket, error);
 }
 
+void take_no_more(tcp::acceptor& acceptor) {
+    // Of what comes to it, what asks for a connection (SYN) is dropped: byte 13 of a TCP header has the flags.
+    sock_filter steps[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+                           BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 0x02, 0, 1), BPF_STMT(BPF_RET | BPF_K, 0),
+                           BPF_STMT(BPF_RET | BPF_K, 0xffffffff)};
+    const sock_fprog program{sizeof steps / sizeof *steps, steps};
+    (void)::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 bool quiet(tcp::socket& socket) {
     char byte = 0;
     const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/loop/sockets.h
+++ b/src/loop/sockets.h
@@ -21,6 +21,11 @@
 // The acceptor must not wait: without a connection the error is would_block.
 void accept(tcp::acceptor& acceptor, tcp::socket& socket, error_code& error);
 
+// The acceptor's machine takes up no further connection, as if it did not hear; those that it has can still be accepted.
+// Ahead of closing it: who connects between the last accept and the close would be reset with a request on the way.
+// Where the system has no such thing, nothing happens.
+void take_no_more(tcp::acceptor& acceptor);
+
 // No bytes and no end have come: safe to write a request to, or to close between two requests.
 [[nodiscard]] bool quiet(tcp::socket& socket);
 
--- a/tests/http/back_test.cpp
+++ b/tests/http/back_test.cpp
@@ -12,6 +12,8 @@
 #include "http/payload.h"
 #include "loop/alarm.h"
 #include "loop/clock.h"
+#include "loop/sockets.h"
+#include "standins/backlog.h"
 #include "standins/peers.h"
 
 namespace flaxdoor::http::test {
@@ -137,5 +139,26 @@
     serve(third, 3);
 }
 
+// Ahead of a listener's close: who has come can be accepted, and who comes now is not heard.
+TEST(Sockets, AListenerThatTakesNoMoreKeepsWhoHasCome) {
+    boost::asio::io_context loop{1};
+    loop::tcp::acceptor acceptor(loop, standins::peers::loopback());
+    acceptor.non_blocking(true);
+    loop::tcp::socket before(loop), after(loop), accepted(loop);
+    before.connect(acceptor.local_endpoint());
+    loop::take_no_more(acceptor);
+    after.async_connect(acceptor.local_endpoint(), [](const loop::error_code&) {});
+    EXPECT_TRUE(
+        standins::run_until(loop, [&] { return standins::connecting_to(acceptor.local_endpoint()); }));
+    loop::error_code error;
+    loop::accept(acceptor, accepted, error);
+    EXPECT_FALSE(error);
+    EXPECT_EQ(accepted.remote_endpoint(), before.local_endpoint());
+    loop::tcp::socket none(loop);
+    loop::accept(acceptor, none, error);
+    EXPECT_EQ(error, boost::asio::error::would_block);
+    after.close();
+}
+
 }  // namespace
 }  // namespace flaxdoor::http::test
--- a/tests/suite/crossings_test.cpp
+++ b/tests/suite/crossings_test.cpp
@@ -1,5 +1,7 @@
 // Two events that cross: each row of docs/design/crossings.md that takes real connections. The bad order is made to
 // happen every time, by a peer that holds something back until the other event is known to have passed.
+#include <unistd.h>
+
 #include "peers.h"
 #include "standins/backlog.h"
 
@@ -81,8 +83,138 @@
     s.pass(*wire, *client);
 }
 
+// An answer that tells no length is the client's once its connection has ended in order, however late that is.
+TEST(Crossings, AnAnswerWithNoLengthIsWholeAtItsEnd) {
+    Stage s(1);
+    const auto client = s.start_with_client();
+    const auto wire = s.send(*client, s.once());
+    wire->say("HTTP/1.1 200 OK\r\n\r\nser");
+    s.settle();
+    wire->say("ved");
+    s.settle();
+    EXPECT_EQ(client->in, "") << "nothing before its end";
+    wire->close();
+    EXPECT_EQ(body(s.answer(*client)), "served");
+    s.serve(*client, s.once());
+    EXPECT_EQ(s.connections(), 2U);
+}
+
+// ---------------------------------------------------------------------------------------------- a client leaves
+
+// Whatever a request waits for when its client closes: nothing of it begins any more, though what it waited for comes.
+TEST(Crossings, NothingBeginsForAClientThatHasGone) {
+    enum class WaitsFor { a_server, a_connection, its_retry };
+    for (const auto waits_for : {WaitsFor::a_server, WaitsFor::a_connection, WaitsFor::its_retry}) {
+        SCOPED_TRACE(static_cast<int>(waits_for));
+        Stage s(2);
+        s.config["known"]["hosts"] = json::array();
+        if (waits_for != WaitsFor::a_server) s.config["known"]["hosts"].push_back(s.upstream(0));
+        if (waits_for == WaitsFor::a_connection) s.upstreams[0]->vanish();
+        const auto client = s.start_with_client();
+        client->say(s.look());
+        if (waits_for == WaitsFor::a_connection) {
+            s.until([&] { return connecting_to(s.upstreams[0]->address()); });
+        } else if (waits_for == WaitsFor::its_retry) {
+            s.request().first->say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+        }
+        s.settle();
+        client->close();
+        s.settle();
+        s.settle();  // what it was written after its end has come back as a reset by now
+        if (waits_for == WaitsFor::a_connection) s.upstreams[0]->reappear();
+        s.watch()->say(watch_head + Stage::news(9, true, json::array({s.upstream(0), s.upstream(1)})) +
+                       chunk("\n"));
+        // Longer than any gap of its class and than a connection takes that is asked for anew.
+        const auto other = s.client();
+        const auto held = s.send(*other, s.once(1500));
+        EXPECT_TRUE(failed(s.answer(*other)));
+        EXPECT_TRUE(s.nothing_sent());
+    }
+}
+
+// ---------------------------------------------------------------------------------------------- the end
+
+// What was accepted, or lay unread on a connection at rest, when the end was told, and nothing further is accepted from
+// then on: each is served. One that had not come whole by then too.
+TEST(Crossings, WhatLayUnreadAtTheEndIsServed) {
+    Stage s(1);
+    s.operators = "[drain]\nkeep_accepting = \"0s\"\n";
+    s.start();
+    const auto resting = s.client();
+    s.serve(*resting);
+    const std::string first = s.once(), second = s.once();
+    s.form->hold();
+    const auto fresh = s.client();
+    fresh->say(first);
+    resting->say(second);
+    s.form->end();
+    s.form->go_on();
+    for (const auto& client : {fresh, resting}) {
+        const auto wire = s.request().first;
+        wire->say(ok("served"));
+        (void)client;
+    }
+    for (const auto& client : {fresh, resting}) {
+        EXPECT_EQ(body(s.answer(*client)), "served");
+        s.until([&c = client] { return c->ended; });
+        client->close();
+    }
+    s.until_ended();
+}
+
+// A new configuration and the end come together, either one first: it ends in order, and what is held is answered.
+TEST(Crossings, AConfigurationAndTheEndComeTogether) {
+    for (const bool end_first : {true, false}) {
+        Stage s(1);
+        Listener other(s.loop);
+        const auto client = s.start_with_client();
+        const auto wire = s.send(*client, s.once());
+        s.config["discovery"] = text_of(other.address());
+        s.form->hold();
+        if (end_first) s.form->end();
+        if (s.form->process() != ::getpid())
+            s.form->take(s.config.dump());  // a library's host waits for its own
+        if (!end_first) s.form->end();
+        s.form->go_on();
+        s.pass(*wire, *client, "held");
+        client->close();
+        s.until_ended();
+    }
+}
+
 // ---------------------------------------------------------------------------------------------- watches
 
+// The watch is reset just ahead of a drain, discovery has moved meanwhile, and the first word of the new one is a whole
+// list that leaves out who drains: it gets nothing more, neither on the connection that it kept nor on one that comes up.
+TEST(Crossings, AWholeListAfterAResetLeavesOutWhoDrains) {
+    Stage s(2);
+    Listener moved(s.loop);
+    s.config["known"]["hosts"] = json::array({s.upstream(0)});
+    const auto client = s.start_with_client();
+    const auto late = s.client();
+    s.watch()->say(watch_head + chunk("\n"));
+    const auto kept = s.serve(*client);
+    s.upstreams[0]->vanish();
+    const auto busy = s.send(*client, s.look());  // on the kept one, so that the next needs a connection
+    late->say(s.once());
+    s.until([&] { return connecting_to(s.upstreams[0]->address()); });
+    s.watch()->reset();
+    s.config["discovery"] = text_of(moved.address());
+    s.take();
+    const std::string text =
+        json{{"seq", 9}, {"whole", true}, {"hosts", json::array({s.upstream(1)})}}.dump(2) + "\n";
+    const auto watch = s.watch(moved);
+    watch->say(watch_head + chunk(text.substr(0, 40)) + chunk(text.substr(40)) + chunk("\n"));
+    s.settle();
+    s.upstreams[0]->reappear();
+    s.pass(*busy, *client, "to the end");
+    s.until([&] { return kept->ended; });
+    const auto wire = s.request().first;
+    EXPECT_EQ(s.upstreams[1]->wires.size(), 1U);
+    s.pass(*wire, *late);
+    for (const auto& each : s.upstreams[0]->wires) EXPECT_EQ(each->in, "");
+}
+
 // Where lists are pushed, a watch that ends, or falls silent, is opened anew at once: before a request that came after
 // that is over by its own, short, time.
 TEST(Crossings, AWatchThatEndsIsOpenedAnewAtOnce) {
