--- a/src/simwire/wire.cpp
+++ b/src/simwire/wire.cpp
@@ -359,25 +359,26 @@
         double result = 0;
         const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
         if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(result))
-            unreadable(name);
+            unreadable(name, "a number");
         return result;
     }
 
     int whole(const std::string& name) const {
         const double value = number(name);
-        if (value != std::floor(value) || std::fabs(value) > 1e9) unreadable(name);
+        if (value != std::floor(value) || std::fabs(value) > 1e9)
+            unreadable(name, "a whole number, up to 1e9");
         return static_cast<int>(value);
     }
 
     Micros span(const std::string& name) const {
         const auto value = micros(number(name));
-        if (!value) unreadable(name);
+        if (!value) unreadable(name, "a time that can be counted in microseconds");
         return *value;
     }
 
     bool flag(const std::string& name) const {
         const auto value = text(name);
-        if (value != "true" && value != "false") unreadable(name);
+        if (value != "true" && value != "false") unreadable(name, "true or false");
         return value == "true";
     }
 
@@ -394,7 +395,7 @@
     int count(const std::string& name) const {
         if (!find(name + ".count")) return 0;
         const int n = whole(name + ".count");
-        if (n < 0 || n > 65536) unreadable(name + ".count");
+        if (n < 0 || n > 65536) unreadable(name + ".count", "from 0 to 65536");
         return n;
     }
 
@@ -408,8 +409,8 @@
         return items;
     }
 
-    [[noreturn]] static void unreadable(const std::string& name) {
-        throw std::invalid_argument("setting unreadable: " + name);
+    [[noreturn]] static void unreadable(const std::string& name, std::string_view must_be) {
+        throw std::invalid_argument("setting unreadable: " + name + ", must be " + std::string(must_be));
     }
 
 private:
@@ -421,7 +422,7 @@
     if (word == "idempotent") return Effect::safe;
     if (word == "deduplicated") return Effect::keyed;
     if (word == "at_most_once") return Effect::unsafe;
-    Facts::unreadable(name);
+    Facts::unreadable(name, "idempotent, deduplicated or at_most_once");
 }
 
 Group group_of(const Facts& facts, const std::string& name) {
@@ -429,7 +430,7 @@
     if (word == "all") return Group::all;
     if (word == "zone") return Group::zone;
     if (word == "cell") return Group::cell;
-    Facts::unreadable(name);
+    Facts::unreadable(name, "all, zone or cell");
 }
 
 ReportField field_of(std::string_view word) {
@@ -447,7 +448,7 @@
     if (word == "off") return ReportSource::none;
     if (word == "inline") return ReportSource::answers;
     if (word == "on_probe") return ReportSource::probes;
-    Facts::unreadable(name);
+    Facts::unreadable(name, "off, inline or on_probe");
 }
 
 Weights weights_of(const Facts& facts, const std::string& name) {
@@ -456,12 +457,12 @@
     if (word == "nominal") return Weights::nominal;
     if (word == "rough") return Weights::rough;
     if (word == "live") return Weights::live;
-    Facts::unreadable(name);
+    Facts::unreadable(name, "off, nominal, rough or live");
 }
 
 bool by_work(const Facts& facts, const std::string& name) {
     const auto word = facts.find(name).value_or("request");
-    if (word != "request" && word != "work") Facts::unreadable(name);
+    if (word != "request" && word != "work") Facts::unreadable(name, "request or work");
     return word == "work";
 }
 
@@ -504,7 +505,7 @@
     s.worth_by_work = by_work(facts, "worth_by");
 
     const auto mode = facts.text("registry_mode");
-    if (mode != "ask" && mode != "push") Facts::unreadable("registry_mode");
+    if (mode != "ask" && mode != "push") Facts::unreadable("registry_mode", "ask or push");
     s.must_ask_list = mode == "ask";
     s.may_probe = facts.flag("limits.may_probe", false);
     s.may_cancel = facts.flag("limits.cancel", false);
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -49,6 +49,58 @@
     EXPECT_ANY_THROW((void)loop::parse_endpoint("name:80"));
 }
 
+// What can be read and makes no sense: told by its key, with what it holds and what it may hold.
+TEST(Config, WhatMakesNoSenseIsNamed) {
+    struct Row {
+        const char* at;  // in the file
+        json value;
+        const char* told;
+    };
+    const json tenants = {{{"name", "a"}, {"quota_rps", 1.0}, {"fraction", 0.5}}, {{"name", "b"}}};
+    for (const Row& row : std::vector<Row>{
+             {"/settings/services/1/worth", -1, "settings.services.1.worth is -1, must be 0 or more"},
+             {"/settings/services/1/late_worth", 1.5,
+              "settings.services.1.late_worth is 1.5, must be a share of worth, from 0 to 1"},
+             {"/settings/services/0/aim", 0, "settings.services.0.aim is 0, must be above 0 ms"},
+             {"/settings/services/2/hard_limit", 100,
+              "settings.services.2.hard_limit is 100, must be at least its aim, in ms"},
+             {"/settings/services/1/window", 0,
+              "settings.services.1.window is 0, must be above 0 ms where effect is \"deduplicated\""},
+             {"/settings/services/2/name", "look",
+              "settings.services.2.name is \"look\", must be another name than those before it"},
+             {"/settings/services/2/name", "",
+              "settings.services.2.name is \"\", must be what requests call it by"},
+             {"/settings/tenants/1/name", "a",
+              "settings.tenants.1.name is \"a\", must be another name than those before it"},
+             {"/settings/tenants/0/quota_rps", -3,
+              "settings.tenants.0.quota_rps is -3, must be 0 (none) or more, in requests a second"},
+             {"/settings/tenants/0/fraction", 7,
+              "settings.tenants.0.fraction is 7, must be a share from 0 to 1"},
+             {"/settings/rank", 1, "settings.rank is 1, must be from 0, and below siblings"},
+             {"/settings/siblings", 0, "settings.siblings is 0, must be at least 1"},
+             {"/settings/zone", 2, "settings.zone is 2, must be the place of one of zones, from 0"},
+             {"/settings/tick", 0, "settings.tick is 0, must be above 0 ms"},
+             {"/settings/limits/max_attempts", 0, "settings.limits.max_attempts is 0, must be at least 1"},
+             {"/settings/over_share_worth", 2, "settings.over_share_worth is 2, must be from 0 to 1"},
+             {"/settings/invariants/cold_from", 0,
+              "settings.invariants.cold_from is 0, must be above 0, at most 1"},
+             {"/settings/invariants/fall", 1000,
+              "settings.invariants.fall_multiple is missing, must be above 0 where fall is told"},
+             {"/limits/sockets", -3, "limits.sockets is -3, must be a whole number above 0"},
+             {"/limits/sockets", "many", "limits.sockets is \"many\", must be a whole number above 0"}}) {
+        json config = plain();
+        config["settings"]["tenants"] = tenants;
+        EXPECT_NO_THROW((void)parse_config(config.dump()));
+        config[json::json_pointer(row.at)] = row.value;
+        try {
+            (void)parse_config(config.dump());
+            ADD_FAILURE() << row.at << " was taken";
+        } catch (const std::invalid_argument& error) {
+            EXPECT_STREQ(error.what(), row.told);
+        }
+    }
+}
+
 EngineOptions options(const std::string& upstream = "127.0.0.1:1") {
     return {parse_config(plain(upstream).dump()), settings::Values(settings::product_schema())};
 }
--- a/tests/suite/configuration_test.cpp
+++ b/tests/suite/configuration_test.cpp
@@ -11,8 +11,10 @@
     short_of["settings"].erase("siblings");
     json elsewhere = good.config;
     elsewhere["listen"] = text_of(good.discovery.address());  // taken
+    json senseless = good.config;
+    senseless["settings"]["services"][0]["worth"] = -1;
     for (const std::string& text : {std::string("{\"settings\":"), std::string("[]"), std::string(),
-                                    short_of.dump(), elsewhere.dump()}) {
+                                    short_of.dump(), elsewhere.dump(), senseless.dump()}) {
         Stage s;
         EXPECT_FALSE(s.form->start({text, {}, {}}));
         EXPECT_EQ(s.form->status(), 1) << text;
@@ -30,7 +32,10 @@
     const auto watch = s.watch();
     const auto client = s.client();
     const auto wire = s.send(*client, s.look());
-    for (const char* broken : {"{\"settings\":", "", "[]", "{}"}) {
+    json named_twice = s.config;
+    named_twice["settings"]["services"][1]["name"] = "look";
+    const std::string twice = named_twice.dump();
+    for (const char* broken : {"{\"settings\":", "", "[]", "{}", twice.c_str()}) {
         const auto lines = s.form->log().size();
         s.form->take(broken);
         s.until([&] { return s.form->log().size() > lines; });
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -389,13 +389,18 @@
         return "";
     };
     EXPECT_EQ(error_without("tick=2.0", "x=1"), "setting missing: tick");
-    EXPECT_EQ(error_without("tick=2.0", "tick=two"), "setting unreadable: tick");
-    EXPECT_EQ(error_without("tick=2.0", "tick=nan"), "setting unreadable: tick");
-    EXPECT_EQ(error_without("rank=1", "rank=1.5"), "setting unreadable: rank");
-    EXPECT_EQ(error_without("idempotent", "perhaps"), "setting unreadable: services.0.effect");
-    EXPECT_EQ(error_without("group=cell", "group=x"), "setting unreadable: services.1.group");
-    EXPECT_EQ(error_without("may_probe=true", "may_probe=yes"), "setting unreadable: limits.may_probe");
-    EXPECT_EQ(error_without("registry_mode=ask", "registry_mode=x"), "setting unreadable: registry_mode");
+    EXPECT_EQ(error_without("tick=2.0", "tick=two"), "setting unreadable: tick, must be a number");
+    EXPECT_EQ(error_without("tick=2.0", "tick=nan"), "setting unreadable: tick, must be a number");
+    EXPECT_EQ(error_without("rank=1", "rank=1.5"),
+              "setting unreadable: rank, must be a whole number, up to 1e9");
+    EXPECT_EQ(error_without("idempotent", "perhaps"),
+              "setting unreadable: services.0.effect, must be idempotent, deduplicated or at_most_once");
+    EXPECT_EQ(error_without("group=cell", "group=x"),
+              "setting unreadable: services.1.group, must be all, zone or cell");
+    EXPECT_EQ(error_without("may_probe=true", "may_probe=yes"),
+              "setting unreadable: limits.may_probe, must be true or false");
+    EXPECT_EQ(error_without("registry_mode=ask", "registry_mode=x"),
+              "setting unreadable: registry_mode, must be ask or push");
 }
 
 }  // namespace
