Front: a connection that is used is not idle, also where it asks for readiness only

Seen by a new test: of two connections the one served last was closed as the one idle longest. At fault: Connection::enter_if, which leaves a connection in its list where it comes back to the same one within one turn; what the handler answers at once (readiness) never left it, so its time counted from its first answer, and a balancer's prober was closed after idle_timeout however often it asked.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -398,7 +398,9 @@
             answer(owner_.handler_.on_not_taken(taken, asked.get()));
         }
 
+        // Its list is left and come back to, also where all is written at once: it has been used.
         void answer(const Handler::Answer& told) {
+            enter(writing);
             (void)machine_.answer(told.message, told.last || owner_.winding_down_);
         }
 
