--- a/tests/http/back_test.cpp
+++ b/tests/http/back_test.cpp
@@ -7,12 +7,10 @@
 #include <chrono>
 #include <map>
 
-#include "../on_loop.h"
 #include "../rig.h"
 #include "http/payload.h"
-#include "loop/alarm.h"
-#include "loop/clock.h"
 #include "loop/sockets.h"
+#include "on_core.h"
 #include "standins/backlog.h"
 #include "standins/peers.h"
 
@@ -24,10 +22,6 @@
 using standins::peers::Wire;
 using Link = std::shared_ptr<Wire>;
 
-struct NoLog final : core::Log {
-    void event(const core::Event&, std::span<const core::Value>) override {}
-};
-
 struct Answers final : core::Front {
     void on_started(std::uint64_t, std::unique_ptr<core::Payload>) override {}
     void on_final(std::uint64_t token, core::Final answer) override {
@@ -39,10 +33,9 @@
 };
 
 // One upstream, and connections that have rested once `rest` has passed.
-class BackTest : public standins::OnLoop {
+class BackTest : public OnCore {
 protected:
     void start(Micros rest) {
-        alarm.on_due([this] { core.on_alarm(); });
         BackOptions options;
         options.rest = rest;
         back = std::make_unique<Back>(loop.get_executor(), core, clock, budget, options);
@@ -82,10 +75,6 @@
         EXPECT_EQ(answers.bodies[token], "a" + std::to_string(token));
     }
 
-    loop::Clock clock;
-    loop::Alarm alarm{loop.get_executor(), clock};
-    NoLog log;
-    core::Core core{clock, alarm, log};
     ConnectionBudget budget;
     Answers answers;
     Listener upstream{loop};
--- a/tests/http/front_test.cpp
+++ b/tests/http/front_test.cpp
@@ -6,9 +6,7 @@
 
 #include <chrono>
 
-#include "../on_loop.h"
-#include "loop/alarm.h"
-#include "loop/clock.h"
+#include "on_core.h"
 #include "standins/peers.h"
 
 namespace flaxdoor::http::test {
@@ -16,10 +14,6 @@
 
 using standins::peers::Client;
 
-struct NoLog final : core::Log {
-    void event(const core::Event&, std::span<const core::Value>) override {}
-};
-
 // Answers each request with its target.
 struct Echo final : Handler {
     std::variant<Answer, Ask> on_request(Request message, const From&) override {
@@ -33,7 +27,7 @@
     Answer on_not_taken(core::Taken, Asked*) override { return {}; }
 };
 
-class FrontTest : public standins::OnLoop {
+class FrontTest : public OnCore {
 protected:
     void start(FrontLimits limits = {}) {
         front = std::make_unique<Front>(loop.get_executor(), core, echo, clock, limits);
@@ -50,10 +44,6 @@
         EXPECT_EQ(from.body(n), target);
     }
 
-    loop::Clock clock;
-    loop::Alarm alarm{loop.get_executor(), clock};
-    NoLog log;
-    core::Core core{clock, alarm, log};
     Echo echo;
     std::unique_ptr<Front> front;
 };
