--- a/tests/suite/crossings_test.cpp
+++ b/tests/suite/crossings_test.cpp
@@ -184,6 +184,29 @@
 
 // ---------------------------------------------------------------------------------------------- watches
 
+// Clients who say nothing take all that is theirs while discovery does not answer and is called again and again: the calls
+// and the upstreams keep what they need, and once discovery is back all goes on by itself.
+TEST(Crossings, IdleClientsFillTheDescriptorsWhileDiscoveryIsAway) {
+    Stage s(2);
+    s.config["limits"]["sockets"] = 96;
+    s.config["known"]["hosts"] = json::array({s.upstream(0)});
+    s.operators = "[membership]\nanswer_timeout = \"100ms\"\n";
+    s.discovery.vanish();
+    const auto client = s.start_with_client();
+    const auto held = s.send(*client, s.once());
+    std::vector<std::shared_ptr<Wire>> crowd;
+    for (int i = 0; i < 200; ++i) crowd.push_back(s.client());
+    s.line("discovery: watch failed: silence", 3);
+    s.pass(*held, *client, "held");
+    s.discovery.reappear();
+    s.until([&] { return !s.discovery.wires.empty() && has(s.discovery.wires.back()->in, "\r\n\r\n"); });
+    s.discovery.wires.back()->say(watch_head + Stage::news(9, true, json::array({s.upstream(1)})) +
+                                  chunk("\n"));
+    s.until([&] { return held->ended; });  // its upstream is listed no more
+    s.serve(*client, s.once());
+    EXPECT_EQ(s.upstreams[1]->wires.size(), 1U);
+}
+
 // The watch is reset just ahead of a drain, discovery has moved meanwhile, and the first word of the new one is a whole
 // list that leaves out who drains: it gets nothing more, neither on the connection that it kept nor on one that comes up.
 TEST(Crossings, AWholeListAfterAResetLeavesOutWhoDrains) {
