Lists on a watch may have one entry a line

Seen in the last read of the change: a list whose entries stand one a line from the first column was taken for one cut short, and ended the watch: ListText called each line that is an object a list of its own. Change: only one that has hosts. The core reads its clock once, not twice, ahead of an attempt's first byte.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -216,15 +216,15 @@
         Pool* const pool = find_pool(open.call.pool);
         // Guards against a repeat whose connection comes up, or whose last bytes find room, after the window in
         // which servers drop it: the module judged it when it chose the server (rule 2).
-        if (open.answered || !pool || !open.within_window(*sent, clock_.now(), pool->settings.tick))
-            return false;
+        const Time at = clock_.now();
+        if (open.answered || !pool || !open.within_window(*sent, at, pool->settings.tick)) return false;
         if (!open.sending_told) {
             bool wanted = true;
             tell([&] { wanted = open.front->on_sending(open.token); });
             if (!wanted) return false;
             open.sending_told = true;
         }
-        if (!std::exchange(sent->sending, true)) sent->began = clock_.now();
+        if (!std::exchange(sent->sending, true)) sent->began = at;
         return true;
     }
 
--- a/src/membership/roster_machine.cpp
+++ b/src/membership/roster_machine.cpp
@@ -17,7 +17,7 @@
 
 // Finds the end of a watch's next text: an empty line, or a list, on a line or indented over several. Guards against
 // one that was cut short and would swallow all that comes behind it: an object has no empty line in it, and a line
-// that begins one and ends it is a list of its own. What isn't JSON is no concern here.
+// that is an object with hosts of its own is a list of its own (entries may stand one a line). What isn't JSON is no concern here.
 class ListText {
 public:
     // Behind its line's end; 0: not here yet. Told again with more at the end of the same text.
@@ -26,7 +26,8 @@
             const char c = text[at_++];
             if (c == '\n') {
                 const std::string_view line = text.substr(line_, at_ - 1 - line_);
-                const bool alone = line.starts_with('{') && deep_ == deep_before_;
+                const bool alone = line.starts_with('{') && deep_ == deep_before_ &&
+                                   line.find("\"hosts\"") != std::string_view::npos;
                 if (deep_ <= 0 || in_string_ || alone || line.empty() || line == "\r") return at_;
                 line_ = at_;
                 deep_before_ = deep_;
--- a/tests/membership/roster_machine_test.cpp
+++ b/tests/membership/roster_machine_test.cpp
@@ -83,6 +83,10 @@
          watch_head + chunk("\n" + indented(5, "c") + "\n\r\n" + indented(6, "d{\\\"") + "\n" +
                             list(7, false, "") + "\n"),
          "alive delta5:c alive delta6:d{\" delta7:", "failed "},
+        {"watch with a list of one entry a line", true,
+         watch_head +
+             chunk("{\"seq\":5,\"whole\":false,\"hosts\":[\n" + host("a") + ",\n" + host("b") + "\n]}\n\n"),
+         "delta5:a b alive ", "failed "},
         {"watch with an indented list cut short by an empty line", true,
          watch_head + chunk(indented(5, "c").substr(0, 60) + "\n\n" + list(7, false, "") + "\n"), "failed ",
          ""},
