--- a/src/core/call.h
+++ b/src/core/call.h
@@ -72,6 +72,7 @@
 enum class Cause {
     none,           // served
     no_room,        // refused by the module with nothing sent: nobody had room in time
+    over_budget,    // refused by the core's admission: nothing was sent, or what was sent never ran
     turned_away,    // every attempt was turned away or never got through
     timed_out,      // the last attempt got no answer in its time
     broken,         // the last attempt's connection broke after the request was whole
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -18,6 +18,7 @@
     switch (cause) {
         case Cause::none: return "none";
         case Cause::no_room: return "no room";
+        case Cause::over_budget: return "over budget";
         case Cause::turned_away: return "turned away";
         case Cause::timed_out: return "timed out";
         case Cause::broken: return "broken";
@@ -182,7 +183,11 @@
         open.call = std::move(call);
         ++figures_.taken;
         ++waiting_;
-        events_.emplace_back(NewCall{number});
+        if (admit(open, *pool, at)) {
+            events_.emplace_back(NewCall{number});
+        } else {
+            events_.emplace_back(Denied{number});
+        }
         pump();
         return Taken::yes;
     }
@@ -218,10 +223,14 @@
         // which servers drop it: the module judged it when it chose the server (rule 2).
         const Time at = clock_.now();
         if (open.answered || !pool || !open.within_window(*sent, at, pool->settings.tick)) return false;
+        if (!sent->sending && !may_begin(open, key, at)) return false;
         if (!open.sending_told) {
             bool wanted = true;
             tell([&] { wanted = open.front->on_sending(open.token); });
-            if (!wanted) return false;
+            if (!wanted) {
+                if (open.permits) tell([&] { open.permits->end(key.number, true, at); });
+                return false;
+            }
             open.sending_told = true;
         }
         if (!std::exchange(sent->sending, true)) sent->began = at;
@@ -327,6 +336,8 @@
         bool sending_told = false;
         bool in_doubt = false;  // an attempt of it ended here without its end there being known
         std::optional<Handle> guard;
+        std::unique_ptr<Permits> permits;
+        std::optional<Micros> denied;  // for want of one: when to come back, as far as known
 
         bool may_have_run() const {
             return std::any_of(attempts.begin(), attempts.end(),
@@ -435,6 +446,10 @@
         CallId call = 0;
         PoolId pool = 0;
     };
+    // There is no permit for it, or none any more.
+    struct Denied {
+        CallId call = 0;
+    };
     struct Start {
         AttemptKey key;
         Micros latency{};
@@ -448,7 +463,7 @@
         PoolId pool = 0;
         bool answered = false;  // all that it held has been
     };
-    using Event = std::variant<NewCall, Gone, Start, AttemptResult, News, Removal, Due>;
+    using Event = std::variant<NewCall, Gone, Denied, Start, AttemptResult, News, Removal, Due>;
 
     struct Doubt {
         Time until{};
@@ -560,6 +575,7 @@
 
     static CallId call_of(const Event& event) {
         if (const auto* e = std::get_if<NewCall>(&event)) return e->call;
+        if (const auto* e = std::get_if<Denied>(&event)) return e->call;
         if (const auto* e = std::get_if<Start>(&event)) return e->key.call;
         if (const auto* e = std::get_if<AttemptResult>(&event)) return e->key.call;
         const auto* due = std::get_if<Due>(&event);
@@ -603,6 +619,15 @@
         if (Pool* const pool = find_pool(event.pool)) pool->policy->on_client_gone(now_, event.call);
     }
 
+    void handle(const Denied& event) {
+        const auto found = open_.find(event.call);
+        if (found == open_.end() || found->second.answered) return;
+        Open& open = found->second;
+        give_up(open);
+        if (open.told) events_.emplace_back(Gone{event.call, open.call.pool});
+        forget_if_over(event.call);
+    }
+
     void handle(Start& event) {
         Sent* const sent = find_sent(event.key);
         if (!sent) return;
@@ -636,7 +661,11 @@
         sent->own_fault = result.own_fault;
         sent->outcome = result.own_fault ? Outcome::moot : result.outcome;
         sent->may_have_run = has_run(sent->outcome, result.whole);
-        open.in_doubt |= in_doubt(sent->outcome, result.whole);
+        const bool unknown = in_doubt(sent->outcome, result.whole);
+        open.in_doubt |= unknown;
+        if (open.permits && sent->sending) {
+            tell([&] { open.permits->end(result.key.number, !unknown, now_); });
+        }
         --open.in_flight;
         const bool mine = open.started < 0 || open.started == result.key.number;
         AttemptEnd end;
@@ -733,20 +762,55 @@
         if (!sent.cancellable) end_unsent(key, true);
     }
 
-    bool may_try(const Open& open) {
-        if (open.answered || !open.call.retries) return true;
+    // Sets aside what the first attempt needs.
+    bool admit(Open& open, const Pool& pool, Time at) {
+        if (!options_.admission) return true;
+        Admitted admitted;
+        if (!tell([&] { admitted = options_.admission->admit(open.call, pool.name, pool.settings, at); }))
+            admitted.refused = true;
+        open.permits = std::move(admitted.permits);
+        if (admitted.refused) open.denied = admitted.retry_after;
+        return !admitted.refused;
+    }
+
+    bool may_try(Open& open) {
+        if (open.answered) return true;
+        const auto number = static_cast<int>(open.attempts.size());
+        bool allowed = true;
+        if (open.permits) tell([&] { allowed = open.permits->allow(number, now_); });
+        if (!allowed) {
+            deny(open, now_);
+            return false;
+        }
         const bool begun =
             std::any_of(open.attempts.begin(), open.attempts.end(), [](const Sent& s) { return s.sending; });
-        bool allowed = true;
-        if (begun) tell([&] { allowed = open.call.retries->allow(now_); });
+        if (begun && open.call.retries) tell([&] { allowed = open.call.retries->allow(now_); });
         return allowed;
     }
 
-    // For the gate: of the attempts so far, none is repeated.
+    // What throws has let nothing through.
+    bool may_begin(Open& open, AttemptKey key, Time at) {
+        if (!open.permits) return true;
+        bool begins = false;
+        tell([&] { begins = open.permits->begin(key.number, at); });
+        if (!begins) {
+            deny(open, at);
+            events_.emplace_back(Denied{key.call});  // the back is on the stack, and ends the attempt first
+        }
+        return begins;
+    }
+
+    void deny(Open& open, Time at) {
+        open.denied = Micros{};
+        tell([&] { open.denied = open.permits->retry_after(at); });
+    }
+
+    // For the gate, or for want of a permit: of the attempts so far, none is repeated.
     void give_up(Open& open) {
         const bool may_have_run = open.may_have_run();
         if (!may_have_run) {
-            return answer(open, {Verdict::refused, Cause::turned_away, {}, false, nullptr});
+            const Cause cause = open.denied ? Cause::over_budget : Cause::turned_away;
+            return answer(open, {Verdict::refused, cause, come_back(open), false, nullptr});
         }
         Cause cause = Cause::turned_away;
         for (const Sent& s : open.attempts) {
@@ -755,6 +819,13 @@
         answer(open, {Verdict::failed, cause, {}, true, nullptr});
     }
 
+    // As the module tells it: where the platform heeds it, and no later than it allows.
+    Micros come_back(const Open& open) {
+        const Pool* const pool = find_pool(open.call.pool);
+        if (!open.denied || !pool || !pool->settings.retry_after) return Micros{};
+        return std::min(*open.denied, pool->settings.max_retry_after);
+    }
+
     static Due expiry_of(AttemptKey key) {
         return {TimerKind::expiry, key.call, static_cast<std::uint64_t>(key.number)};
     }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/admission.h"
 #include "core/call.h"
 #include "core/ports.h"
 
@@ -36,6 +37,7 @@
     // the oldest of more than so many is forgotten.
     Micros doubt_kept = std::chrono::seconds(10);
     std::size_t doubts = 4096;
+    Admission* admission = nullptr;  // borrowed; null: the module alone decides
 };
 
 struct PoolOptions {
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -9,6 +9,8 @@
         policy) echo "" ;;
         core) echo "" ;;
         log) echo "core settings" ;;
+        budget) echo "core" ;;
+        coordinator) echo "budget core http log loop settings store" ;;
         door) echo "core" ;;
         loop) echo "core" ;;
         http) echo "core loop" ;;
@@ -25,10 +27,10 @@
         sides) echo "core engine ingress kube log loop pg routes settings tls" ;;
         simwire) echo "" ;;
         tls) echo "" ;;
-        engine) echo "core door log loop http membership recovery settings simwire store" ;;
+        engine) echo "budget coordinator core door log loop http membership recovery settings simwire store" ;;
         library) echo "core loop http membership settings engine" ;;
         middleware) echo "http library" ;;
-        apps) echo "door engine gateway http ingress kube log loop settings sides simwire store tls" ;;
+        apps) echo "budget coordinator core door engine gateway http ingress kube log loop settings sides simwire store tls" ;;
         *) echo "unknown" ;;
     esac
 }
@@ -68,7 +70,7 @@
         done
         # Machines, decisions and worlds know no sockets and no clock.
         case $name in
-            core | policy | door | recovery | routes | gateway | random | trace | judge | fleet | explore)
+            budget | core | policy | door | recovery | routes | gateway | random | trace | judge | fleet | explore)
                 if grep -rnE '#include <(boost/asio|sys/socket|unistd)|_clock::now' "$folder"; then bad=1; fi ;;
         esac
     done
