Coordinator's service: leases, view and readiness over HTTP; a log of grants

A reply leaves after its commit and its witness; what can't be written is a 503. Each refusal is told to the log once. A change of wholes leaves alone what balancers have from their own start.

--- /dev/null
+++ b/src/coordinator/service.cpp
@@ -0,0 +1,208 @@
+#include "coordinator/service.h"
+
+#include <algorithm>
+#include <cstring>
+
+#include "log/events.h"
+
+namespace flaxdoor::coordinator {
+
+using budget::Verdict;
+namespace events = log::events;
+
+namespace {
+
+http::Response json_answer(std::string body) {
+    http::Response response;
+    response.fields.add("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+}  // namespace
+
+Service::Service(budget::Terms terms, Journal::Opened opened, const core::Clock& clock, core::Log& log,
+                 GrantsLog* grants)
+    : clock_(clock),
+      log_(log),
+      grants_(grants),
+      journal_(std::move(opened.journal)),
+      authority_(std::move(terms), std::move(opened.start), clock.now()),
+      longest_term_(std::max(authority_.terms().term, opened.start.longest_term)) {
+    const Micros waits = authority_.waits_until() - clock_.now();
+    if (waits > Micros{0}) {
+        log_.tell(events::coordinator_waiting, waits.count() / 1000, opened.why);
+    } else {
+        log_.tell(events::coordinator_current);
+    }
+}
+
+std::variant<http::Handler::Answer, http::Handler::Ask> Service::on_request(http::Request message,
+                                                                            const From& from) {
+    const auto only = [&](std::string_view method, auto answer) {
+        return message.method == method ? answer() : http::plain_answer(405);
+    };
+    http::Response response;
+    if (message.target == "/v1/leases") {
+        response = only("POST", [&] { return lease(message.body); });
+    } else if (message.target == "/v1/budgets") {
+        response = only("GET", [&] { return json_answer(encode(view())); });
+    } else if (message.target == "/ready") {
+        response = only("GET", [&] { return http::plain_answer(ready() && !from.draining ? 200 : 503); });
+    } else {
+        response = http::plain_answer(404);
+    }
+    return Answer{std::move(response), false};
+}
+
+http::Response Service::on_final(core::Final, http::Asked*) { return http::plain_answer(500); }
+
+http::Handler::Answer Service::on_not_taken(core::Taken, http::Asked*) {
+    return {http::plain_answer(500), true};
+}
+
+http::Response Service::lease(const std::string& body) {
+    const auto decoded = decode_request(body);
+    if (const auto* bad = std::get_if<Malformed>(&decoded)) return http::plain_answer(400, bad->why);
+    const auto& request = std::get<budget::LeaseRequest>(decoded);
+    const Time now = clock_.now();
+    std::vector<budget::Change> changes;
+    const budget::LeaseReply reply = authority_.on_request(request, now, changes);
+    const bool durable = make_durable(changes);
+    note(request, reply, now);
+    if (!durable) return http::plain_answer(503, trouble_);
+    if (grants_) {
+        const Time until = now + budget::at_authority(reply.term, authority_.terms().drift);
+        if (const int error = grants_->write(request, reply, now, until); error != 0) {
+            set_trouble(std::string("the grants' log: ") + std::strerror(error));
+            return http::plain_answer(503, trouble_);
+        }
+    }
+    set_trouble({});
+    return json_answer(encode(reply));
+}
+
+// One that has stepped down does not know what the later one grants; nor does its next start.
+Journal::Standing Service::standing() const {
+    const Time waits = authority_.waits_until();
+    Time known_from = waits;
+    if (authority_.stepped_down()) {
+        known_from = Time(time_most);
+    } else if (waits > Time{}) {
+        const budget::Terms& terms = authority_.terms();
+        known_from = waits + budget::at_authority(terms.longest, terms.drift);
+    }
+    return {authority_.epoch(), known_from, longest_term_};
+}
+
+bool Service::make_durable(const std::vector<budget::Change>& changes) {
+    const Journal::Standing now = standing();
+    if (changes.empty() && !journal_->differs(now)) return true;
+    const store::Result result = journal_->commit(now, changes);
+    if (!result) {
+        set_trouble("the store: " + result.why);
+        return false;
+    }
+    if (journal_->witness_trouble() != witness_trouble_) {
+        witness_trouble_ = journal_->witness_trouble();
+        if (!witness_trouble_.empty()) log_.tell(events::coordinator_witness, witness_trouble_);
+    }
+    return true;
+}
+
+void Service::set_trouble(std::string trouble) {
+    if (trouble == trouble_) return;
+    trouble_ = std::move(trouble);
+    if (trouble_.empty()) {
+        log_.tell(events::coordinator_writes_again);
+    } else {
+        log_.tell(events::coordinator_not_written, trouble_);
+    }
+}
+
+// Each refusal is told once, and again when it changes: a process asks some times a term.
+void Service::note(const budget::LeaseRequest& request, const budget::LeaseReply& reply, Time now) {
+    if (authority_.stepped_down()) {
+        if (!told_stepped_down_) log_.tell(events::coordinator_stepped_down, request.holder);
+        told_stepped_down_ = true;
+        return;
+    }
+    const Key key{request.holder, request.instance};
+    if (reply.verdict == Verdict::granted) {
+        refused_.erase(key);
+        return;
+    }
+    if (reply.verdict == Verdict::waiting) return;  // all alike, or a doubled request
+    std::erase_if(refused_, [&](const auto& each) { return now - each.second.at > refused_kept; });
+    const auto found = refused_.find(key);
+    const bool fresh = found == refused_.end();
+    if (fresh && refused_.size() >= refused_most) return;
+    const bool told = !fresh && found->second.verdict == reply.verdict;
+    Refused& refused = refused_[key];
+    refused = {reply.verdict, reply.why, now};
+    if (!told) tell_refused(key, refused);
+}
+
+void Service::tell_refused(const Key& key, const Refused& refused) {
+    const auto& [holder, instance] = key;
+    switch (refused.verdict) {
+        case Verdict::name_taken:
+            log_.tell(events::coordinator_name_taken, holder, instance, refused.why);
+            break;
+        case Verdict::clock_off:
+            log_.tell(events::coordinator_clock_off, holder, instance, refused.why);
+            break;
+        default:
+            log_.tell(events::coordinator_refused, holder, instance, text_of(refused.verdict), refused.why);
+            break;
+    }
+}
+
+void Service::change(const budget::Terms& fresh) {
+    budget::Terms terms = authority_.terms();
+    std::vector<budget::Budget> budgets;
+    for (budget::Budget each : fresh.budgets) {
+        const auto had = std::find_if(terms.budgets.begin(), terms.budgets.end(),
+                                      [&](const budget::Budget& b) { return b.name == each.name; });
+        if (had != terms.budgets.end()) {
+            each.counts = had->counts;
+            each.reserve = had->reserve;
+        }
+        budgets.push_back(std::move(each));
+    }
+    terms.budgets = std::move(budgets);
+    authority_.change(std::move(terms), clock_.now());
+}
+
+bool Service::ready() const {
+    return !authority_.stepped_down() && trouble_.empty() && clock_.now() >= authority_.waits_until();
+}
+
+View Service::view() const {
+    const Time now = clock_.now();
+    View view;
+    view.epoch = authority_.epoch();
+    view.waits = std::max(authority_.waits_until() - now, Micros{0});
+    view.stepped_down = authority_.stepped_down();
+    view.trouble = trouble_;
+    budget::Authority::View its = authority_.view(now);
+    for (auto& sum : its.sums) {
+        view.sums.push_back({std::move(sum.budget), sum.counts, sum.whole, sum.reserved, sum.counted});
+    }
+    for (auto& held : its.held) {
+        if (view.held.size() == rows_most) {
+            ++view.left_out;
+            continue;
+        }
+        view.held.push_back({std::move(held.budget), std::move(held.holder), std::move(held.instance),
+                             held.counted, held.share, held.wants, held.in_use, held.until - now,
+                             std::string(held.why)});
+    }
+    for (const auto& [key, refused] : refused_) {
+        if (now - refused.at > refused_kept) continue;
+        view.refused.push_back({key.first, key.second, refused.verdict, refused.why, now - refused.at});
+    }
+    return view;
+}
+
+}  // namespace flaxdoor::coordinator
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -126,8 +126,37 @@
 inline constexpr auto postgres_ended =
     event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
 
+// ------------------------------------------------------------------------------------- the coordinator
+
+inline constexpr auto coordinator_waiting =
+    event("coordinator.waiting", Level::info, "coordinator: nothing is granted for {wait_ms} ms: {why}",
+          "wait_ms", "why");
+inline constexpr auto coordinator_current =
+    event("coordinator.current", Level::info, "coordinator: the store is the latest, leases go on");
+inline constexpr auto coordinator_stepped_down =
+    event("coordinator.stepped_down", Level::error,
+          "coordinator: stepped down: {holder} has heard of another of a later epoch", "holder");
+inline constexpr auto coordinator_not_written =
+    event("coordinator.not_written", Level::error, "coordinator: nothing is granted: {why}", "why");
+inline constexpr auto coordinator_writes_again =
+    event("coordinator.writes_again", Level::info, "coordinator: grants are written again");
+inline constexpr auto coordinator_witness =
+    event("coordinator.witness", Level::warning, "coordinator: {why}; the next start waits", "why");
+inline constexpr auto coordinator_name_taken =
+    event("coordinator.name_taken", Level::warning,
+          "coordinator: {holder} is the name of two processes: {instance} is refused: {why}", "holder",
+          "instance", "why");
+inline constexpr auto coordinator_clock_off =
+    event("coordinator.clock_off", Level::warning,
+          "coordinator: the clock of {holder} ({instance}) is off: {why}", "holder", "instance", "why");
+inline constexpr auto coordinator_refused =
+    event("coordinator.refused", Level::warning, "coordinator: {holder} ({instance}): {verdict}: {why}",
+          "holder", "instance", "verdict", "why");
+inline constexpr auto coordinator_kept =
+    event("coordinator.kept", Level::warning, "coordinator: the old wholes stay: {why}", "why");
+
 // The table: each of them once.
-inline constexpr std::array<const core::Event*, 51> all{&core::events::from_module,
+inline constexpr std::array<const core::Event*, 61> all{&core::events::from_module,
                                                         &core::events::fault,
                                                         &not_started,
                                                         &listening,
@@ -177,6 +206,16 @@
                                                         &gateway_lease_ours,
                                                         &postgres_listening,
                                                         &postgres_kept,
-                                                        &postgres_ended};
+                                                        &postgres_ended,
+                                                        &coordinator_waiting,
+                                                        &coordinator_current,
+                                                        &coordinator_stepped_down,
+                                                        &coordinator_not_written,
+                                                        &coordinator_writes_again,
+                                                        &coordinator_witness,
+                                                        &coordinator_name_taken,
+                                                        &coordinator_clock_off,
+                                                        &coordinator_refused,
+                                                        &coordinator_kept};
 
 }  // namespace flaxdoor::log::events
