A balancer's agent and its admission: [budget] in the operator's file brings them

With [budget] the engine makes a holder, an agent that asks the coordinator over one kept connection, and the admission that the core is given; without it nothing is made. The agent tells the log when leases come and go. Library callers are told over_budget as a cause of its own.

--- a/include/flaxdoor/balancer.h
+++ b/include/flaxdoor/balancer.h
@@ -66,6 +66,7 @@
 enum class CallCause {
     none,          // served
     no_room,       // refused: no node had room in time
+    over_budget,   // refused: a budget of the whole fleet has no permit left for it
     turned_away,   // every attempt was turned away or never got through
     timed_out,     // no answer in its time
     broken,        // a connection broke after the request was whole
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
+#include "engine/budgets.h"
 #include "engine/doorway.h"
 #include "engine/keeper.h"
 #include "engine/side.h"
@@ -55,8 +56,9 @@
     return limits;
 }
 
-core::Options core_options(const settings::Values& operators, std::size_t open_calls) {
+core::Options core_options(const settings::Values& operators, std::size_t open_calls, Budgets* budgets) {
     core::Options options;
+    if (budgets) options.admission = &budgets->admission();
     options.open_calls = open_calls;
     if (open_calls == 0) {
         options.open_calls = static_cast<std::size_t>(operators.get(settings::core::max_open_calls));
@@ -112,7 +114,8 @@
           for_clients_(options.listens ? part(sockets_, operators_.get(settings::http::client_share)) : 0),
           alarm_(executor, clock_),
           door_alarm_(executor, clock_),
-          core_(clock_, alarm_, log, core_options(operators_, open_calls_)),
+          budgets_(make_budgets(executor, log, config_, operators_)),
+          core_(clock_, alarm_, log, core_options(operators_, open_calls_, budgets_.get())),
           budget_{sockets_ - for_clients_, 0},
           back_(executor, core_, clock_, budget_, back_options()),
           timer_(executor) {
@@ -149,6 +152,7 @@
         }
         begin_sides(options.sides);
         use_operators();
+        if (budgets_) budgets_->start();
         if (roster_ && !config_.settings.must_ask_list) roster_->watch();
         if (!front_) return;
         front_->listen(config_.listen);
@@ -246,7 +250,7 @@
     void use_operators() {
         if (front_) front_->set_limits(front_limits(operators_, sockets_, for_clients_));
         if (roster_) roster_->set_limits(roster_limits(operators_));
-        core_.set_own_limit(core_options(operators_, open_calls_).own_limit);
+        core_.set_own_limit(core_options(operators_, open_calls_, nullptr).own_limit);
         keep_accepting_ = operators_.get(settings::drain::keep_accepting);
         end_slack_ = operators_.get(settings::drain::end_slack);
         if (on_operators_) on_operators_(operators_);
@@ -297,6 +301,7 @@
         core_.remove_pool(pool_);  // answers all that is still open, while there is a front to tell it
         if (front_) front_->stop();
         for (const auto& side : sides_) side->stop();
+        if (budgets_) budgets_->leave();
         if (!keeper_) end();
     }
 
@@ -313,6 +318,7 @@
     Micros end_slack_{};
     loop::Clock clock_;
     loop::Alarm alarm_, door_alarm_;
+    std::unique_ptr<Budgets> budgets_;  // with [budget]
     core::Core core_;
     http::ConnectionBudget budget_;
     http::Back back_;
--- a/src/library/balancer.cpp
+++ b/src/library/balancer.cpp
@@ -20,6 +20,7 @@
     switch (cause) {
         case CallCause::none: return "none";
         case CallCause::no_room: return "no room";
+        case CallCause::over_budget: return "over budget";
         case CallCause::turned_away: return "turned away";
         case CallCause::timed_out: return "timed out";
         case CallCause::broken: return "broken";
--- a/src/library/instance.cpp
+++ b/src/library/instance.cpp
@@ -22,6 +22,7 @@
     switch (cause) {
         case core::Cause::none: return CallCause::none;
         case core::Cause::no_room: return CallCause::no_room;
+        case core::Cause::over_budget: return CallCause::over_budget;
         case core::Cause::turned_away: return CallCause::turned_away;
         case core::Cause::timed_out: return CallCause::timed_out;
         case core::Cause::broken: return CallCause::broken;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -82,6 +82,22 @@
 inline constexpr auto door_tenant =
     event("door.tenant", Level::info, "door: tenant {tenant}: {figures}", "tenant", "figures");
 
+// --------------------------------------------------------------------------------- budgets of the fleet
+
+inline constexpr auto budget_leased =
+    event("budget.leased", Level::info, "budgets: leased by the coordinator at {address}", "address");
+inline constexpr auto budget_unleased =
+    event("budget.unleased", Level::warning, "budgets: no lease, only the reserve: {why}", "why");
+inline constexpr auto budget_name_taken = event(
+    "budget.name_taken", Level::error, "budgets: no lease and no reserve, the name is taken: {why}", "why");
+inline constexpr auto budget_clock_off =
+    event("budget.clock_off", Level::error, "budgets: the clocks do not agree: {why}", "why");
+inline constexpr auto budget_stepped_down =
+    event("budget.stepped_down", Level::warning, "budgets: the coordinator has stepped down: {why}", "why");
+inline constexpr auto budget_at_odds =
+    event("budget.at_odds", Level::error, "budgets: the coordinator has other terms: {why}", "why");
+inline constexpr auto budget_terms = event("budget.terms", Level::warning, "budgets: {what}", "what");
+
 // ----------------------------------------------------------------------------------------- the gateway
 
 inline constexpr auto gateway_listening = event(
@@ -127,7 +143,7 @@
     event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
 
 // The table: each of them once.
-inline constexpr std::array<const core::Event*, 51> all{&core::events::from_module,
+inline constexpr std::array<const core::Event*, 58> all{&core::events::from_module,
                                                         &core::events::fault,
                                                         &not_started,
                                                         &listening,
@@ -159,6 +175,13 @@
                                                         &store_trouble,
                                                         &door_terms,
                                                         &door_tenant,
+                                                        &budget_leased,
+                                                        &budget_unleased,
+                                                        &budget_name_taken,
+                                                        &budget_clock_off,
+                                                        &budget_stepped_down,
+                                                        &budget_at_odds,
+                                                        &budget_terms,
                                                         &gateway_listening,
                                                         &gateway_port_failed,
                                                         &gateway_port_closed,
--- a/src/settings/tables/budget.cpp
+++ b/src/settings/tables/budget.cpp
@@ -56,10 +56,9 @@
 
 std::optional<Objection> no_address(const Row& row) {
     const std::string host = row.get(coordinator).host;
-    in6_addr room;
-    if (inet_pton(AF_INET, host.c_str(), &room) == 1 || inet_pton(AF_INET6, host.c_str(), &room) == 1)
-        return std::nullopt;
-    return Objection{"no IP address: " + in_quotes(host), "give the coordinator's IPv4 or IPv6 address"};
+    in_addr room;
+    if (inet_pton(AF_INET, host.c_str(), &room) == 1) return std::nullopt;
+    return Objection{"no IPv4 address: " + in_quotes(host), "give the coordinator's address"};
 }
 
 std::optional<Objection> witness_in_store(const Row& row) {
@@ -147,7 +146,7 @@
                 "same file is for both; the coordinator takes changed amounts of [[budget_limit]] with a "
                 "SIGHUP, a balancer with a restart.",
             .settings = {coordinator, balancers, term, clock_drift, longest_deadline, max_processes},
-            .checks = {{{"coordinator"}, "The coordinator is named by an IP address.", no_address}}};
+            .checks = {{{"coordinator"}, "The coordinator is named by an IPv4 address.", no_address}}};
 }
 
 Table limit_table() {
--- a/src/settings/tables/budget.h
+++ b/src/settings/tables/budget.h
@@ -21,17 +21,18 @@
     {.table = "budget",
      .name = "coordinator",
      .takes = Takes::restart,
-     .meaning = "Where the coordinator is reached, by its IPv4 or IPv6 address."}};
-
-inline constexpr Key<std::int64_t> balancers{
-    {.table = "budget",
-     .name = "balancers",
-     .least = 1,
-     .most = 1024,
-     .unit = "balancers",
-     .takes = Takes::restart,
-     .meaning = "How many balancers there are at most, each under a NODE_NAME of its own: for so many a "
-                "reserve is set aside."}};
+     .meaning = "Where the coordinator is reached, by its IPv4 address."}};
+
+inline constexpr Key<std::int64_t> balancers{{.table = "budget",
+                                              .name = "balancers",
+                                              .least = 1,
+                                              .most = 1024,
+                                              .unit = "balancers",
+                                              .takes = Takes::restart,
+                                              .meaning =
+                                                  "How many balancers there are at most, each under a name "
+                                                  "of its own (`name` in NODE_CONFIG): for so many a "
+                                                  "reserve is set aside."}};
 
 // With 2 * drift at a tenth of a term or less, and ten round trips of 20 ms in one, every term in these ranges makes
 // sense with every drift: no check between the two is needed.
