--- a/src/apps/balancer.cpp
+++ b/src/apps/balancer.cpp
@@ -1,16 +1,12 @@
 // The daemon: a small program over the library. Environment, command line, configuration, signals, the loop.
 #include "flaxdoor/balancer.h"
 
-#include <fcntl.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -18,6 +14,7 @@
 #include <sstream>
 #include <string>
 
+#include "apps/daemon.h"
 #include "log/events.h"
 #include "log/logger.h"
 #include "loop/clock.h"
@@ -99,107 +96,11 @@
     std::string text_;
 };
 
-// To read a large configuration takes tens of milliseconds: so long at least lies between two times.
-constexpr auto reload_again = std::chrono::milliseconds(250);
-
-// SIGHUP brings new files, SIGTERM and SIGINT the end; each as often as it comes. Of many SIGHUPs one after
-// the other the last one counts.
-class Signals {
-public:
-    Signals(boost::asio::io_context& loop, Logger& log, std::shared_ptr<const flaxdoor::detail::Sides> sides)
-        : loop_(loop),
-          log_(log),
-          sides_(std::move(sides)),
-          signals_(loop, SIGTERM, SIGINT, SIGHUP),
-          reload_(loop) {}
-
-    void pass_to(Balancer& balancer, Operators& operators) {
-        signals_.async_wait(
-            [this, &balancer, &operators](const boost::system::error_code& error, int signal) {
-                if (error) return;
-                if (signal == SIGHUP) {
-                    reload_soon(balancer, operators);
-                } else {
-                    balancer.async_drain([this] { loop_.stop(); });
-                }
-                pass_to(balancer, operators);
-            });
-    }
-
-private:
-    // Guards against a storm of them, in which this program would do nothing else.
-    void reload_soon(Balancer& balancer, Operators& operators) {
-        if (reload_due_) return;
-        reload_due_ = true;
-        reload_.expires_at(reloaded_ + reload_again);
-        reload_.async_wait([this, &balancer, &operators](const boost::system::error_code& error) {
-            if (error) return;
-            reload_due_ = false;
-            reload(balancer, operators);
-            reloaded_ = std::chrono::steady_clock::now();
-        });
-    }
-
-    // What can't be used changes nothing.
-    void reload(Balancer& balancer, Operators& operators) {
-        operators.reload();
-        try {
-            BalancerOptions options = configuration();
-            options.operators = operators.text();
-            options.sides = sides_;
-            balancer.reconfigure(options);
-        } catch (const std::exception& error) {
-            log_.tell(events::configuration_kept, error.what());
-        }
-    }
-
-    boost::asio::io_context& loop_;
-    Logger& log_;
-    const std::shared_ptr<const flaxdoor::detail::Sides> sides_;
-    boost::asio::signal_set signals_;
-    boost::asio::steady_timer reload_;
-    std::chrono::steady_clock::time_point reloaded_{};  // the last time
-    bool reload_due_ = false;
-};
-
-// Lines that wait for their reader go out though no further one comes. Nothing is due while none waits.
-class Retry {
-public:
-    Retry(boost::asio::io_context& loop, Logger& log) : log_(log), timer_(loop) {
-        log_.on_waiting([this] { later(); });
-        if (log_.waiting()) later();
-    }
-    ~Retry() { log_.on_waiting({}); }
-
-private:
-    static constexpr auto again = std::chrono::milliseconds(250);
-
-    void later() {
-        timer_.expires_after(again);
-        timer_.async_wait([this](const boost::system::error_code& error) {
-            if (error) return;
-            log_.retry();
-            if (log_.waiting()) later();
-        });
-    }
-
-    Logger& log_;
-    boost::asio::steady_timer timer_;
-};
-
-// Started without one of the three standard descriptors: its number would go to what is opened next, and lines for standard
-// error into that.
-void fill_standard_descriptors() {
-    for (const int each : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
-        if (::fcntl(each, F_GETFD) < 0) (void)::open("/dev/null", O_RDWR);  // takes the lowest that is free
-    }
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
-    fill_standard_descriptors();
+    flaxdoor::apps::fill_standard_descriptors();
     const flaxdoor::loop::Clock clock;
     flaxdoor::log::Descriptor standard_error(STDERR_FILENO);
     Logger log(standard_error, clock);
@@ -217,14 +118,25 @@
                                         if (auto* const options = std::get_if<flaxdoor::log::Options>(&taken))
                                             log.set(std::move(*options));
                                     }});
-        Signals signals(loop, log, sides);  // kept for when the balancer is there to take them
-        const Retry retry(loop, log);
+        flaxdoor::apps::Signals signals(loop);  // kept for when the balancer is there to take them
+        const flaxdoor::apps::Retry retry(loop, log);
         Operators operators(operators_path, log);
         BalancerOptions options = configuration();
         options.operators = operators.text();
         options.sides = sides;
         Balancer balancer(loop.get_executor(), options);
-        signals.pass_to(balancer, operators);
+        const auto reload = [&] {  // what can't be used changes nothing
+            operators.reload();
+            try {
+                BalancerOptions fresh = configuration();
+                fresh.operators = operators.text();
+                fresh.sides = sides;
+                balancer.reconfigure(fresh);
+            } catch (const std::exception& error) {
+                log.tell(events::configuration_kept, error.what());
+            }
+        };
+        signals.pass_to(reload, [&] { balancer.async_drain([&loop] { loop.stop(); }); });
         loop.run();
     } catch (const std::exception& error) {
         log.tell(events::not_started, error.what());
--- a/src/apps/flaxdoor.cpp
+++ b/src/apps/flaxdoor.cpp
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "apps/coordinator_commands.h"
 #include "apps/door_commands.h"
 #include "apps/route_commands.h"
 #include "apps/store_commands.h"
@@ -139,9 +140,14 @@
     });
 }
 
-constexpr Command commands[] = {
-    add_check, add_settings, flaxdoor::apps::add_door, flaxdoor::apps::add_routes, flaxdoor::apps::add_store,
-    add_lab,   add_version};
+constexpr Command commands[] = {add_check,
+                                add_settings,
+                                flaxdoor::apps::add_door,
+                                flaxdoor::apps::add_routes,
+                                flaxdoor::apps::add_store,
+                                flaxdoor::apps::add_coordinator,
+                                add_lab,
+                                add_version};
 
 }  // namespace
 
