Budgets: a fast clock brings neither permits nor free places early

The lab's worlds with clocks fast by the whole bound broke two promises: over all windows a fleet let through more than rate * W + size, since each bucket filled by its own clock (rate * (1 + drift)); and a place whose attempt's end is not known was free by a fast clock before the attempt had to have ended (13 at once of 12). A bucket now fills at 1 - drift of its rate, and such a place is kept for at_authority(longest).

--- a/src/budget/allowance.cpp
+++ b/src/budget/allowance.cpp
@@ -6,11 +6,20 @@
 
 namespace {
 constexpr std::int64_t permit = 1'000'000'000;  // in what tokens are counted in: a thousandth's microsecond
-constexpr Micros longest_fill = std::chrono::hours(1);  // so that the product below fits
+constexpr std::int64_t millionths = 1'000'000;
+constexpr Micros longest_fill = std::chrono::hours(1);  // so that the products below fit
+
+// Rounded down, so that no more comes in than may.
+std::int64_t pace_of(double drift) { return static_cast<std::int64_t>(1e6 * (1 - drift)); }
 }  // namespace
 
-Allowance::Allowance(Counts counts, Amount reserve, Micros longest, Time now)
-    : counts_(counts), reserve_(reserve), longest_(longest), until_(now), at_(now) {}
+Allowance::Allowance(Counts counts, Amount reserve, Micros longest, Time now, double drift)
+    : counts_(counts),
+      reserve_(reserve),
+      longest_(drift > 0 ? at_authority(longest, drift) : longest),
+      pace_(pace_of(drift)),
+      until_(now),
+      at_(now) {}
 
 void Allowance::lease(Amount share, Time until, Time now) {
     settle(now);
@@ -100,7 +109,9 @@
     }
     if (tokens_ >= permit) return Micros{0};
     if (here.rate == 0) return std::nullopt;
-    return Micros((permit - tokens_ + here.rate - 1) / here.rate);
+    const __int128 lacking = static_cast<__int128>(permit - tokens_) * millionths;
+    const __int128 pace = static_cast<__int128>(here.rate) * pace_;
+    return Micros(static_cast<std::int64_t>((lacking + pace - 1) / pace));
 }
 
 Allowance::Asked Allowance::take_asked() {
@@ -126,7 +137,8 @@
 void Allowance::fill(Time until) {
     if (counts_ != Counts::concurrency && until > at_) {
         const Amount here = size_at(at_);
-        tokens_ += here.rate * std::min(until - at_, longest_fill).count();
+        const __int128 come = static_cast<__int128>(here.rate) * std::min(until - at_, longest_fill).count();
+        tokens_ += static_cast<std::int64_t>(come * pace_ / millionths);
         tokens_ = std::min(tokens_, (here.size - aside_) * permit);
     }
     at_ = until;
--- a/src/budget/allowance.h
+++ b/src/budget/allowance.h
@@ -20,8 +20,9 @@
 
 class Allowance {
 public:
-    // `longest`: for how long an attempt that has begun may hold its place when its end is not known.
-    Allowance(Counts counts, Amount reserve, Micros longest, Time now);
+    // `longest`: for how long an attempt that has begun may hold its place when its end is not known. `drift`: this clock
+    // may be so much too fast; over a fleet of fast clocks neither a rate nor a place's end may come early.
+    Allowance(Counts counts, Amount reserve, Micros longest, Time now, double drift = 0);
 
     // A lease takes the place of what was leased before.
     void lease(Amount share, Time until, Time now);
@@ -60,8 +61,9 @@
     Counts counts_;
     Amount reserve_, lease_;
     Micros longest_;
-    Time until_{};  // of the lease
-    Time at_{};     // settled up to here
+    std::int64_t pace_;  // of filling, in millionths
+    Time until_{};       // of the lease
+    Time at_{};          // settled up to here
     std::int64_t tokens_ = 0;
     std::int64_t aside_ = 0;  // set aside, not used
     std::int64_t gone_ =
--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -26,7 +26,7 @@
       next_(now) {
     for (const Budget& budget : terms_.budgets) {
         const Amount reserve = budget.counts == Counts::concurrency ? Amount{} : budget.reserve;
-        allowances_.emplace_back(budget.counts, reserve, terms_.longest, now);
+        allowances_.emplace_back(budget.counts, reserve, terms_.longest, now, terms_.drift);
     }
 }
 
--- a/tests/budget/allowance_test.cpp
+++ b/tests/budget/allowance_test.cpp
@@ -122,6 +122,23 @@
     }
 }
 
+// By a clock that is as fast as it may be, true seconds are 1.01 of its own.
+TEST(Bucket, AFastClockBringsNoMoreThanTheRate) {
+    Allowance allowance(Counts::requests, {}, longest, 0s, 0.01);
+    allowance.lease({1'000'000, 2000}, 1000s, 0s);
+    EXPECT_LE(take_all(allowance, 1010ms), 1000);
+    EXPECT_GE(take_all(allowance, 2020ms), 998) << "and hardly less";
+    EXPECT_EQ(allowance.next(2020ms), Micros(1011)) << "until there is one";
+}
+
+TEST(Places, AFastClockFreesNoneBeforeItsAttemptMustHaveEnded) {
+    Allowance allowance(Counts::concurrency, {0, 1}, longest, 0s, 0.01);
+    ASSERT_EQ(take_all(allowance, 1s), 1);
+    allowance.free_place(false, 1s, 2s);
+    EXPECT_EQ(allowance.in_use(1s + longest * 1010 / 1000), 1);
+    EXPECT_EQ(allowance.in_use(1s + longest * 1010 / 1000 + 1us), 0);
+}
+
 TEST(Places, AreFreeWhenTheirAttemptsHaveEnded) {
     struct Row {
         const char* what;
