--- a/lab/apps/flaxdoor_lab.cpp
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -13,6 +14,9 @@
 #include <sstream>
 #include <thread>
 
+#include "budgets/draw.h"
+#include "budgets/explore.h"
+#include "budgets/figures.h"
 #include "experiment/plan.h"
 #include "explore/explore.h"
 #include "hunt/hunt.h"
@@ -324,6 +328,70 @@
     return wrong ? unmet : whole ? 0 : stopped_early;
 }
 
+struct BudgetWords {
+    std::string seeds = "1..200", world = "mixed";
+    bool figures = false, orders = false;
+    std::uint64_t spread = 10;
+    budgets::SmallWorld small;
+};
+
+void print(const std::vector<budgets::Figure>& figures) {
+    for (const budgets::Figure& f : figures) {
+        std::printf("| %s | %.3g (%.3g to %.3g) %s |\n", f.name.c_str(), f.spread.middle, f.spread.least,
+                    f.spread.most, f.unit.c_str());
+    }
+    std::fflush(stdout);
+}
+
+int budget_orders(const budgets::SmallWorld& small) {
+    const budgets::Orders orders = budgets::explore(small);
+    std::cout << (orders.all ? "all orders: " : "not all orders: ") << orders.states << " states, "
+              << orders.met_again << " met again, " << orders.steps << " steps\n";
+    for (const std::string& each : orders.wrong) std::cout << "    " << each << "\n";
+    return !orders.wrong.empty() ? unmet : orders.all ? 0 : stopped_early;
+}
+
+// Worlds by seed until one is broken, where it must not be.
+int budget_seeds(const BudgetWords& words) {
+    unsigned long long from = 0, to = 0;
+    if (std::sscanf(words.seeds.c_str(), "%llu..%llu", &from, &to) != 2 || from > to) {
+        std::cerr << "--seeds " << words.seeds << ": not a span like 1..200\n";
+        return not_understood;
+    }
+    const auto kinds = budgets::kinds();
+    const auto kind =
+        std::find_if(kinds.begin(), kinds.end(), [&](const auto& k) { return k.name == words.world; });
+    const bool must_hold = kind == kinds.end() || kind->holds;
+    unsigned long long played = 0, broken = 0, begun = 0, requests = 0;
+    for (unsigned long long seed = from; seed <= to && !stop; ++seed) {
+        const budgets::Played one = budgets::judged(budgets::draw(words.world, seed));
+        ++played;
+        begun += one.counts.begun;
+        requests += one.counts.requests;
+        if (one.broken.empty()) continue;
+        ++broken;
+        if (!must_hold) continue;
+        std::cout << "seed " << seed << " of " << words.world << ", world " << played << ": "
+                  << one.broken.front().text << "\n";
+        for (const std::string& each : one.broken.front().story) std::cout << "    " << each << "\n";
+        return unmet;
+    }
+    std::cout << words.world << ": " << played << " worlds, " << broken << " broken, " << begun
+              << " attempts, " << requests << " requests to authorities\n";
+    return stop ? stopped_early : 0;
+}
+
+int budget(const BudgetWords& words) {
+    std::signal(SIGINT, [](int) { stop = true; });
+    if (words.orders) return budget_orders(words.small);
+    if (!words.figures) return budget_seeds(words);
+    print(budgets::use_figures(words.spread));
+    print(budgets::recovery_figures(words.spread));
+    print(budgets::broken_figures(10 * words.spread));
+    print(budgets::cost_figures([] { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }));
+    return 0;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -385,6 +453,24 @@
         ->delimiter(',');
     explore_command->callback([&] { todo = [&] { return explore_file(explore_words); }; });
 
+    BudgetWords budget_words;
+    CLI::App* const budget_command =
+        program.add_subcommand("budget", "Play drawn worlds of fleet-wide budgets until one is broken");
+    budget_command->add_option("--seeds", budget_words.seeds, "FIRST..LAST");
+    budget_command->add_option("--world", budget_words.world,
+                               "what may go wrong; a wrong name tells them all");
+    budget_command->add_flag("--figures", budget_words.figures, "use, recovery and cost in place of it");
+    budget_command->add_option("--spread", budget_words.spread, "seeds of each figure")
+        ->check(CLI::Range(1, 1000));
+    budget_command->add_flag("--orders", budget_words.orders, "every order of a small world in place of it");
+    budget_command->add_option("--ticks", budget_words.small.ticks, "its time, in thirds of a term");
+    budget_command->add_option("--losses", budget_words.small.losses, "messages lost at most");
+    budget_command->add_option("--deaths", budget_words.small.deaths, "whether the first holder may die");
+    budget_command->add_option("--under-way", budget_words.small.under_way_most,
+                               "of each holder at once, at most");
+    budget_command->add_option("--states", budget_words.small.states_most, "looked at, at most");
+    budget_command->callback([&] { todo = [&] { return budget(budget_words); }; });
+
     CLI::App* const report_command = program.add_subcommand("report", "Write a run's page and CSV again");
     report_command->add_option("FOLDER", file)->required();
     report_command->callback([&] {
--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -41,6 +41,8 @@
         random) echo "" ;;
         trace) echo "" ;;
         judge) echo "trace" ;;
+        budget_judge) echo "" ;;
+        budgets) echo "budget budget_judge random" ;;
         experiment) echo "flaxdoor settings" ;;
         experiments|variants) echo "" ;;  # files, no code
         fleet) echo "core door experiment flaxdoor random trace" ;;
@@ -49,7 +51,7 @@
         hunt) echo "experiment random run settings" ;;
         explore) echo "experiment fleet judge trace" ;;
         real) echo "experiment fleet run standins trace" ;;
-        apps) echo "experiment explore fleet hunt judge real report run settings trace" ;;
+        apps) echo "budget_judge budgets experiment explore fleet hunt judge real report run settings trace" ;;
         *) echo "unknown" ;;
     esac
 }
@@ -70,7 +72,8 @@
         done
         # Machines, decisions and worlds know no sockets and no clock.
         case $name in
-            budget | core | policy | door | recovery | routes | gateway | random | trace | judge | fleet | explore)
+            budget | core | policy | door | recovery | routes | gateway | random | trace | judge | fleet | explore | \
+                budget_judge | budgets)
                 if grep -rnE '#include <(boost/asio|sys/socket|unistd)|_clock::now' "$folder"; then bad=1; fi ;;
         esac
     done
@@ -79,7 +82,7 @@
 
 judge src allowed || fail "an arrow goes the wrong way"
 judge lab allowed_in_lab || fail "an arrow of the lab goes the wrong way"
-if grep -rnE '#include <.*[/.]' lab/judge; then fail "the judge uses more than the standard library"; fi
+if grep -rnE '#include <.*[/.]' lab/judge lab/budget_judge --include=*.h --include=*.cpp; then fail "the judge uses more than the standard library"; fi
 if grep -rnE '#include "(.*/)?lab/' src include; then fail "src uses the lab"; fi
 if grep -nE '#include <boost/asio/(ip|io_context|steady_timer|post|read|write|signal)|_clock::now' src/http/*_machine.* src/http/message.* src/http/platform.* src/http/reader.* \
     src/membership/*_machine.h src/membership/list.* src/pg/*_machine.* src/pg/pool.* src/pg/scram.* src/pg/session.* \
@@ -107,6 +110,12 @@
     echo "#include \"$other\"" >"$scratch/judge/x.cpp"
     judge "$scratch" allowed_in_lab >/dev/null && fail "the judge including $other passed"
 done
+mkdir "$scratch/budget_judge"
+for other in budget/authority.h budget/terms.h budgets/world.h random/stream.h; do
+    echo "#include \"$other\"" >"$scratch/budget_judge/x.cpp"
+    judge "$scratch" allowed_in_lab >/dev/null && fail "the budgets' judge including $other passed"
+done
+rm -r "$scratch/budget_judge"
 mkdir "$scratch/core" && echo '#include "trace/record.h"' >"$scratch/core/x.cpp" && rm -r "$scratch/judge"
 judge "$scratch" allowed >/dev/null && fail "the core including the lab passed"
 exit 0
--- /dev/null
+++ b/tests/budget/lab_test.cpp
@@ -0,0 +1,139 @@
+// The lab's worlds of budgets: that its judge sees what is broken, that drawn worlds keep the budgets, and every order of a
+// small one.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "budget_judge/judge.h"
+#include "budgets/draw.h"
+#include "budgets/explore.h"
+#include "budgets/figures.h"
+
+namespace flaxdoor::lab::budgets {
+namespace {
+
+constexpr std::int64_t ms = 1000;
+
+Record whole(std::int64_t at, std::uint32_t budget, Quantity q) {
+    return {at, What::whole, 0, budget, q, 0, ""};
+}
+Record lease(std::int64_t at, std::uint32_t process, Quantity q, std::int64_t until) {
+    return {at, What::lease, process, 0, q, until, ""};
+}
+Record reserve(std::int64_t at, std::uint32_t process, Quantity q) {
+    return {at, What::reserve, process, 0, q, 0, ""};
+}
+Record gone(std::int64_t at, std::uint32_t process) { return {at, What::gone, process, 0, {}, 0, ""}; }
+Record begun(std::int64_t at, std::uint32_t budget) { return {at, What::begun, 0, budget, {}, 0, ""}; }
+Record ended(std::int64_t at, std::uint32_t budget) { return {at, What::ended, 0, budget, {}, 0, ""}; }
+
+struct Case {
+    const char* name;
+    std::vector<Record> records;
+    const char* broken;  // the first rule; empty: none
+};
+
+// Budget 0: ten a second, two deep; budget 1: two places. A term is 100 ms, an attempt 50 ms.
+class JudgeCase : public testing::TestWithParam<Case> {};
+
+TEST_P(JudgeCase, IsSeen) {
+    Judge judge({{{"rate", false, {}}, {"pool", true, {}}}, 100 * ms, 50 * ms});
+    judge.put(whole(0, 0, {10'000, 2}));
+    judge.put(whole(0, 1, {0, 2}));
+    for (const Record& each : GetParam().records) judge.put(each);
+    ASSERT_EQ(!judge.broken().empty(), *GetParam().broken != 0);
+    if (*GetParam().broken != 0) {
+        EXPECT_EQ(text_of(judge.broken().front().rule), GetParam().broken) << judge.broken().front().text;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Judge, JudgeCase,
+    testing::Values(
+        Case{"SharesThatSumToTheWhole", {lease(1, 1, {5000, 1}, 9 * ms), lease(2, 2, {5000, 1}, 9 * ms)}, ""},
+        Case{"ARateBeyondIt", {lease(1, 1, {5000, 1}, 9 * ms), lease(2, 2, {5001, 1}, 9 * ms)}, "shares"},
+        Case{"ASizeBeyondIt", {lease(1, 1, {1, 2}, 9 * ms), lease(2, 2, {1, 1}, 9 * ms)}, "shares"},
+        Case{"AReserveBesideALease", {reserve(1, 1, {0, 1}), lease(2, 2, {0, 2}, 9 * ms)}, "shares"},
+        Case{"AfterALeasesEnd", {lease(1, 1, {0, 2}, 9 * ms), lease(9 * ms, 2, {0, 2}, 20 * ms)}, ""},
+        Case{"JustAheadOfIt", {lease(1, 1, {0, 2}, 9 * ms), lease(9 * ms - 1, 2, {0, 2}, 20 * ms)}, "shares"},
+        Case{"AfterAProcessIsGone",
+             {lease(1, 1, {0, 2}, 9 * ms), gone(2, 1), lease(3, 2, {0, 2}, 9 * ms)},
+             ""},
+        Case{"WithinATermOfACut", {whole(0, 0, {1000, 1}), lease(99 * ms, 1, {0, 2}, 99 * ms + 1)}, ""},
+        Case{"BeyondATermOfACut", {whole(0, 0, {1000, 1}), lease(99 * ms, 1, {0, 2}, 101 * ms)}, "shares"},
+        Case{"ABurstOfTheSize", {begun(1, 0), begun(1, 0), begun(100 * ms + 1, 0)}, ""},
+        Case{"ABurstBeyondIt", {begun(1, 0), begun(1, 0), begun(100 * ms, 0)}, "work"},
+        Case{"ALongWindowBeyondIt",
+             {begun(1, 0), begun(90 * ms, 0), begun(180 * ms, 0), begun(270 * ms, 0), begun(299 * ms, 0)},
+             "work"},
+        Case{"ABurstOfTheOldSizeAfterACut",
+             {whole(0, 0, {10'000, 1}), begun(150 * ms, 0), begun(150 * ms, 0)},
+             "work"},
+        Case{"PlacesThatAreFreedInTime", {begun(1, 1), begun(1, 1), ended(2, 1), begun(2, 1)}, ""},
+        Case{"AThirdAtOnce", {begun(1, 1), begun(1, 1), begun(2, 1)}, "places"},
+        Case{"OldPlacesOutliveACutByATermAndAnAttempt",
+             {whole(0, 1, {0, 1}), begun(149 * ms, 1), begun(149 * ms, 1)},
+             ""},
+        Case{"AndNoLonger", {whole(0, 1, {0, 1}), begun(150 * ms, 1), begun(150 * ms, 1)}, "places"},
+        Case{"TimeThatGoesBack", {begun(2, 0), begun(1, 0)}, "trace"},
+        Case{"AnEndTooMany", {ended(2, 1)}, "trace"}),
+    [](const auto& info) { return info.param.name; });
+
+class Worlds : public testing::TestWithParam<Kind> {};
+
+// Where the design says that a budget is not kept, that it isn't is seen.
+TEST_P(Worlds, KeepTheirBudgets) {
+    const Kind& kind = GetParam();
+    const std::uint64_t worlds = kind.name == "mixed" ? 60 : 20;
+    std::uint64_t broken = 0, begun = 0;
+    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
+        const Played played = judged(draw(kind.name, seed));
+        begun += played.counts.begun;
+        if (played.broken.empty()) continue;
+        ++broken;
+        if (!kind.holds) continue;
+        std::string story;
+        for (const std::string& each : played.broken.front().story) story += each + "\n";
+        FAIL() << kind.name << " seed " << seed << ": " << played.broken.front().text << "\n" << story;
+    }
+    EXPECT_GT(begun, 100 * worlds) << "worlds in which nothing happens show nothing";
+    if (!kind.holds) {
+        EXPECT_GT(broken, 0U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Budgets, Worlds, testing::ValuesIn(kinds().begin(), kinds().end()),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(Budgets, TheSameSeedGivesTheSameWorld) {
+    std::vector<std::int64_t> first, second;
+    play(draw("mixed", 3), [&](const Record& r) { first.push_back(r.at * 8 + static_cast<int>(r.what)); });
+    play(draw("mixed", 3), [&](const Record& r) { second.push_back(r.at * 8 + static_cast<int>(r.what)); });
+    EXPECT_GT(first.size(), 100U);
+    EXPECT_EQ(first, second);
+}
+
+TEST(Budgets, EveryOrderOfASmallWorld) {
+    SmallWorld small;
+    small.ticks = 3;
+    small.under_way_most = 1;
+    const Orders orders = explore(small);
+    std::string steps;
+    for (const std::string& each : orders.wrong) steps += each + "\n";
+    EXPECT_EQ(steps, "");
+    EXPECT_TRUE(orders.all);
+    EXPECT_GT(orders.states, 100'000U);
+}
+
+TEST(Clocks, ReadingsAndTimesAgree) {
+    for (const std::int64_t ppb : {-50'000'000, -1, 0, 1, 50'000'000}) {
+        const Clock clock{1'000'000, ppb};
+        for (std::int64_t t = 0; t < 100'000'000; t += 9'999'991) {
+            EXPECT_EQ(clock.at(clock.when(clock.at(t))), clock.at(t));
+            EXPECT_LE(clock.when(clock.at(t)), t);
+        }
+    }
+}
+
+}  // namespace
+}  // namespace flaxdoor::lab::budgets
