A copy that has no permit ends alone, and needs a permit of its own

Found by the new tests of budgets at the core. A further attempt that was denied ended its call, also where the first attempt was under way: with a spent budget of retries every late request failed that would have been answered. It now ends that attempt alone. Two attempts that waited for their connections had one permit between them, and the second to begin was denied; what is set aside is now counted by the attempts that wait, and given back when one never begins. And a permit that lapsed between admission and first byte freed a place in a budget that had not taken one, so that places in use were counted too low. tests/budget/admission_test.cpp: each kind of budget, two of which one lacks, permits that end before the first byte, further attempts, places whose attempts' ends are not known, and 400 seeds at random after which nothing is in use.

--- a/src/budget/admission.cpp
+++ b/src/budget/admission.cpp
@@ -32,100 +32,116 @@
 
 }  // namespace
 
-// Permits of one call: for the attempt that is next to begin, and for those that have begun.
+// Permits of one call. What an attempt takes goes by how many begin before it, which is not known while several wait
+// for their connections: so the permits that are set aside belong to the call, for the next so many that begin.
 class Admission::Held final : public core::Permits {
 public:
     Held(Admission& owner, std::vector<std::size_t> budgets) : owner_(owner), budgets_(std::move(budgets)) {}
     ~Held() override {
-        give_back();
-        for (const Begun& each : begun_) free_places(each, false);
+        while (aside_ > 0) give_back_last();
+        for (const Begun& each : begun_) free_places(budgets_, each.at, false);
     }
 
-    // Set aside already where the attempt before it never began.
-    bool allow(int, Time) override {
-        if (aside_) return true;
-        const Time now = owner_.clock_.now();
-        Holder& holder = owner_.holder_;
-        for (std::size_t i = 0; i < budgets_.size(); ++i) {
-            const std::size_t budget = budgets_[i];
-            if (!takes(owner_.counts(budget), next_) || holder.at(budget).set_aside(now)) continue;
-            lacking_ = budget;
-            owner_.on_refused(budget, now);
-            for (std::size_t j = 0; j < i; ++j) {
-                if (takes(owner_.counts(budgets_[j]), next_)) holder.at(budgets_[j]).give_back(now);
-            }
-            return false;
+    // One that never began leaves what was set aside for it to the next.
+    bool allow(int attempt, Time) override {
+        if (aside_ > static_cast<int>(waiting_.size()) || set_aside()) {
+            waiting_.push_back(attempt);
+            return true;
         }
-        aside_ = true;
-        return true;
+        return false;
     }
 
     bool begin(int attempt, Time) override {
+        if (std::erase(waiting_, attempt) == 0) return false;
         const Time now = owner_.clock_.now();
-        if (!aside_) return false;
-        aside_ = false;
         Holder& holder = owner_.holder_;
+        const int ordinal = next_++;
+        --aside_;
+        std::vector<std::size_t> used;
         bool all = true;
         for (const std::size_t budget : budgets_) {
-            if (!takes(owner_.counts(budget), next_)) continue;
-            if (holder.at(budget).use(now)) continue;
+            if (!takes(owner_.counts(budget), ordinal)) continue;
+            if (holder.at(budget).use(now)) {
+                used.push_back(budget);
+                continue;
+            }
             all = false;
             lacking_ = budget;
             ++owner_.figures_[budget].lapsed;
         }
-        const Begun begun{attempt, now};
         if (!all) {
             // Permits of the others are used up: what goes out may be less than they allow, never more.
-            free_places(begun, true);
+            free_places(used, now, true);
             return false;
         }
-        for (const std::size_t budget : budgets_) {
-            if (takes(owner_.counts(budget), next_)) ++owner_.figures_[budget].permits;
-        }
-        begun_.push_back(begun);
-        ++next_;
+        for (const std::size_t budget : used) ++owner_.figures_[budget].permits;
+        begun_.push_back({attempt, now});
         return true;
     }
 
     void end(int attempt, bool known, Time) override {
+        if (std::erase(waiting_, attempt) > 0) {
+            // Kept for a call's next first attempt, so that it need not ask again; of a copy's nobody may have need.
+            if (next_ > 0 || !waiting_.empty()) give_back_last();
+            return;
+        }
         const auto at =
             std::find_if(begun_.begin(), begun_.end(), [&](const Begun& b) { return b.attempt == attempt; });
         if (at == begun_.end()) return;
-        free_places(*at, known);
+        free_places(budgets_, at->at, known);
         begun_.erase(at);
     }
 
     Micros retry_after(Time) override { return owner_.wait_for(lacking_, owner_.clock_.now()); }
 
+    // For the first attempt, before it has a number. False: there is none.
+    bool set_aside() {
+        const Time now = owner_.clock_.now();
+        Holder& holder = owner_.holder_;
+        const int ordinal = next_ + aside_;
+        for (std::size_t i = 0; i < budgets_.size(); ++i) {
+            const std::size_t budget = budgets_[i];
+            if (!takes(owner_.counts(budget), ordinal) || holder.at(budget).set_aside(now)) continue;
+            lacking_ = budget;
+            owner_.on_refused(budget, now);
+            for (std::size_t j = 0; j < i; ++j) {
+                if (takes(owner_.counts(budgets_[j]), ordinal)) holder.at(budgets_[j]).give_back(now);
+            }
+            return false;
+        }
+        ++aside_;
+        return true;
+    }
+
 private:
     struct Begun {
         int attempt = 0;
         Time at{};
     };
 
-    void give_back() {
-        if (!aside_) return;
+    void give_back_last() {
         const Time now = owner_.clock_.now();
+        const int ordinal = next_ + --aside_;
         for (const std::size_t budget : budgets_) {
-            if (takes(owner_.counts(budget), next_)) owner_.holder_.at(budget).give_back(now);
+            if (takes(owner_.counts(budget), ordinal)) owner_.holder_.at(budget).give_back(now);
         }
-        aside_ = false;
     }
 
-    void free_places(const Begun& begun, bool known) {
+    void free_places(const std::vector<std::size_t>& budgets, Time began, bool known) {
         const Time now = owner_.clock_.now();
-        for (const std::size_t budget : budgets_) {
+        for (const std::size_t budget : budgets) {
             if (owner_.counts(budget) == Counts::concurrency)
-                owner_.holder_.at(budget).free_place(known, begun.at, now);
+                owner_.holder_.at(budget).free_place(known, began, now);
         }
     }
 
     Admission& owner_;
     const std::vector<std::size_t> budgets_;
+    std::vector<int> waiting_;  // allowed, neither begun nor ended
     std::vector<Begun> begun_;
     std::size_t lacking_ = 0;
-    int next_ = 0;  // how many have begun
-    bool aside_ = false;
+    int next_ = 0;   // how many have begun
+    int aside_ = 0;  // for so many of the next that begin; as many as are waiting, or one more
 };
 
 Admission::Admission(Holder& holder, const core::Clock& clock, std::function<void()> on_want)
@@ -149,7 +165,7 @@
     core::Admitted admitted;
     if (under.empty()) return admitted;
     auto held = std::make_unique<Held>(*this, std::move(under));
-    if (!held->allow(0, now)) {
+    if (!held->set_aside()) {
         admitted.refused = true;
         admitted.retry_after = held->retry_after(now);
         return admitted;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -343,6 +343,13 @@
             return std::any_of(attempts.begin(), attempts.end(),
                                [](const Sent& s) { return s.out ? s.sending : s.may_have_run; });
         }
+        // A copy for which there is no permit ends alone: what is under way may still be served.
+        bool others_out(int number) const {
+            for (std::size_t i = 0; i < attempts.size(); ++i) {
+                if (static_cast<int>(i) != number && attempts[i].out) return true;
+            }
+            return false;
+        }
         void be_of(const ClassSettings& its) {
             effect = its.effect;
             group = its.group;
@@ -449,6 +456,7 @@
     // There is no permit for it, or none any more.
     struct Denied {
         CallId call = 0;
+        int attempt = -1;  // that was about to begin; -1: none was made yet
     };
     struct Start {
         AttemptKey key;
@@ -623,6 +631,7 @@
         const auto found = open_.find(event.call);
         if (found == open_.end() || found->second.answered) return;
         Open& open = found->second;
+        if (open.others_out(event.attempt)) return;
         give_up(open);
         if (open.told) events_.emplace_back(Gone{event.call, open.call.pool});
         forget_if_over(event.call);
@@ -663,8 +672,8 @@
         sent->may_have_run = has_run(sent->outcome, result.whole);
         const bool unknown = in_doubt(sent->outcome, result.whole);
         open.in_doubt |= unknown;
-        if (open.permits && sent->sending) {
-            tell([&] { open.permits->end(result.key.number, !unknown, now_); });
+        if (open.permits) {
+            tell([&] { open.permits->end(result.key.number, !unknown || !sent->sending, now_); });
         }
         --open.in_flight;
         const bool mine = open.started < 0 || open.started == result.key.number;
@@ -749,10 +758,10 @@
         if (open.call.attempt_limit > Micros{0}) {
             expires = std::min(expires, now_ + std::min(open.call.attempt_limit, longest_wait));
         }
-        if (!allowed) give_up(open);
+        if (!allowed && !(open.denied && open.others_out(key.number))) give_up(open);
         // Nothing goes out for a call that has ended or belongs to another attempt, nor more often than
         // allowed.
-        if (open.answered || open.started >= 0 || key.number >= pool.settings.max_attempts ||
+        if (!allowed || open.answered || open.started >= 0 || key.number >= pool.settings.max_attempts ||
             clock_.now() >= expires) {
             return end_unsent(key, false);
         }
@@ -777,6 +786,7 @@
         if (open.answered) return true;
         const auto number = static_cast<int>(open.attempts.size());
         bool allowed = true;
+        open.denied.reset();
         if (open.permits) tell([&] { allowed = open.permits->allow(number, now_); });
         if (!allowed) {
             deny(open, now_);
@@ -795,7 +805,7 @@
         tell([&] { begins = open.permits->begin(key.number, at); });
         if (!begins) {
             deny(open, at);
-            events_.emplace_back(Denied{key.call});  // the back is on the stack, and ends the attempt first
+            events_.emplace_back(Denied{key.call, key.number});  // not from here: the back is on the stack
         }
         return begins;
     }
--- /dev/null
+++ b/tests/budget/admission_test.cpp
@@ -0,0 +1,523 @@
+// Budgets at a real core, with a back made by hand, under virtual time: who gets a permit, when it is used, and what becomes
+// of a call that has none. In all of them nothing may be set aside or in use once every call is over.
+#include "budget/admission.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/fakes.h"
+#include "share.h"
+
+namespace flaxdoor::budget::test {
+namespace {
+
+using namespace flaxdoor::core::test;
+using namespace flaxdoor::test;  // the classes of plain_settings, by name
+using core::Cause;
+using core::Taken;
+using core::Verdict;
+
+// The machine's own clock: the core's, which a pause moves while the core's alarm is not served.
+struct Follows final : core::Clock {
+    Time now() const override { return of ? of->now() : FakeClock().at; }
+    const core::Clock* of = nullptr;
+};
+
+Budget budget_of(const char* name, Counts counts, Amount whole) {
+    Budget budget;
+    budget.name = name;
+    budget.counts = counts;
+    budget.whole = whole;
+    return budget;
+}
+constexpr Amount per_second(std::int64_t rate, std::int64_t size) { return {rate * 1000, size}; }
+constexpr Amount places(std::int64_t size) { return {0, size}; }
+
+// Made ahead of the core.
+struct Fleet {
+    explicit Fleet(Terms terms)
+        : holder({std::move(terms), "n1", "1", 1}, clock.now()),
+          admission(holder, clock, [this] { ++wanted; }) {}
+    Follows clock;
+    Holder holder;
+    Admission admission;
+    int wanted = 0;
+};
+
+core::Options options_with(core::Admission& admission) {
+    core::Options options;
+    options.admission = &admission;
+    return options;
+}
+
+Terms terms_of(std::vector<Budget> budgets) {
+    Terms terms;
+    terms.budgets = std::move(budgets);
+    return terms;
+}
+
+Settings platform() {
+    Settings s = plain_settings();
+    s.tenants = {{"a", 0, 0}, {"b", 0, 0}};
+    s.retry_after = true;
+    s.max_retry_after = std::chrono::seconds(30);
+    s.report_fields = {ReportField::in_flight};  // where answers tell the load there are copies
+    s.reports = ReportSource::answers;
+    return s;
+}
+
+// One pool "pool" of four upstreams, and this holder alone in the fleet.
+struct World : Fleet, Stage {
+    explicit World(std::vector<Budget> budgets, Settings settings = platform())
+        : Fleet(terms_of(std::move(budgets))), Stage(options_with(admission)), back(make_back()) {
+        Fleet::clock.of = &(Stage::clock);
+        pool = add(*back, std::move(settings));
+        fleet(pool, 4);
+        lease();
+        // A share begins empty.
+        pass(std::chrono::seconds(1));
+    }
+    ~World() override {
+        back->when_expired = back->when_cancelled = nullptr;
+        core->remove_pool(pool);
+        back->gone = true;
+        EXPECT_EQ(core->figures().open, 0u);
+        EXPECT_EQ(core->figures().faults, 0u);
+        const Time later = now() + at_authority(holder.terms().longest, 0);
+        for (std::size_t i = 0; i < holder.size(); ++i) EXPECT_EQ(holder.at(i).in_use(later), 0) << i;
+    }
+
+    Time now() const { return Stage::clock.at; }
+    // All of every budget, for so long.
+    void lease(Micros term = std::chrono::hours(1)) {
+        std::vector<Amount> shares;
+        for (const Budget& each : holder.terms().budgets) shares.push_back(each.whole);
+        lease(shares, term);
+    }
+    void lease(const std::vector<Amount>& shares, Micros term) {
+        LeaseReply reply;
+        reply.number = holder.request(now()).number;
+        reply.epoch = 1;
+        reply.seq = ++seq;
+        reply.term = term;
+        for (std::size_t i = 0; i < shares.size(); ++i)
+            reply.grants.push_back({holder.terms().budgets[i].name, shares[i]});
+        holder.on_reply(reply, now());
+    }
+    // Taken, and either sent or answered at once.
+    void come(std::uint64_t token, int class_index = safe, int tenant = 0) {
+        core::Call c = call(pool, class_index);
+        c.tenant = {core::Tenant::Kind::known, tenant};
+        EXPECT_EQ(take(std::move(c), token), Taken::yes);
+    }
+    core::AttemptKey last() const { return back->sent.back().key; }
+    std::int64_t in_use(std::size_t budget = 0) { return holder.at(budget).in_use(now()); }
+    void expect_final(std::uint64_t token, Verdict verdict, Cause cause) {
+        EXPECT_EQ(front.finals(token), 1u) << token;
+        EXPECT_EQ(front.of(token)->answer.verdict, verdict) << token;
+        EXPECT_STREQ(core::text_of(front.of(token)->answer.cause), core::text_of(cause)) << token;
+    }
+
+    std::unique_ptr<FakeBack> back;
+    core::PoolId pool = 0;
+    std::uint64_t seq = 0;
+};
+
+// --------------------------------------------------------------------------------------------- what counts
+
+// A call whose first attempt is turned away and whose second is answered, until there is no permit. Which call is denied, and
+// whether at its first attempt or at its second.
+TEST(BudgetAdmission, WhatTakesAPermit) {
+    struct Case {
+        Counts counts;
+        Amount whole;
+        std::size_t served;  // calls
+        std::size_t sent;    // attempts, in all
+    };
+    const Case cases[] = {
+        {Counts::requests, per_second(0, 3), 3, 6},
+        {Counts::attempts, per_second(0, 3), 1, 3},
+        {Counts::retries, per_second(0, 3), 3, 7},
+        {Counts::concurrency, places(1), 4, 8},
+    };
+    for (const Case& each : cases) {
+        SCOPED_TRACE(static_cast<int>(each.counts));
+        World world({budget_of("a", each.counts, each.whole)});
+        // Tokens as many as fit, and then no rate.
+        if (each.counts != Counts::concurrency) {
+            world.lease({per_second(1000, each.whole.size)}, std::chrono::hours(1));
+            world.pass(std::chrono::seconds(1));
+            world.lease({each.whole}, std::chrono::hours(1));
+        }
+        for (std::uint64_t token = 1; token <= 4; ++token) {
+            world.come(token);
+            while (world.front.finals(token) == 0) {
+                ASSERT_FALSE(world.back->out.empty());
+                const auto key = *world.back->out.begin();
+                world.back->answer(key, key.number == 0 ? Outcome::full : Outcome::ok);
+                world.pass(ms(20));
+            }
+        }
+        EXPECT_EQ(world.core->figures().served, each.served);
+        EXPECT_EQ(world.back->sent.size(), each.sent);
+        for (std::uint64_t token = each.served + 1; token <= 4; ++token)
+            world.expect_final(token, Verdict::refused, Cause::over_budget);
+    }
+}
+
+TEST(BudgetAdmission, OnlyWhatFallsUnderIt) {
+    struct Case {
+        const char *tenant, *of_class, *pool;
+        std::set<std::uint64_t> refused;  // of four calls: tenant 0 and 1, each safe and unsafe
+    };
+    const Case cases[] = {
+        {"", "", "", {1, 2, 3, 4}},     {"b", "", "", {3, 4}}, {"", "unsafe", "", {2, 4}},
+        {"a", "safe", "pool", {1}},     {"", "", "other", {}}, {"c", "", "", {}},
+        {"", "", "pool", {1, 2, 3, 4}},
+    };
+    for (const Case& each : cases) {
+        Budget budget = budget_of("a", Counts::requests, per_second(1, 1));
+        budget.tenant = each.tenant;
+        budget.of_class = each.of_class;
+        budget.pool = each.pool;
+        World world({budget});
+        world.holder.at(0).end_lease(world.now());
+        std::set<std::uint64_t> refused;
+        for (std::uint64_t token = 1; token <= 4; ++token) {
+            world.come(token, token % 2 ? safe : unsafe, token > 2);
+            if (world.front.finals(token)) refused.insert(token);
+        }
+        EXPECT_EQ(refused, each.refused) << each.tenant << "/" << each.of_class << "/" << each.pool;
+        EXPECT_EQ(world.admission.figures()[0].refused, each.refused.size());
+        EXPECT_EQ(world.wanted, static_cast<int>(each.refused.size()));
+    }
+}
+
+TEST(BudgetAdmission, OfTwoBudgetsTheSecondLacks) {
+    World world({budget_of("a", Counts::requests, per_second(1, 2)),
+                 budget_of("b", Counts::concurrency, places(1)),
+                 budget_of("c", Counts::requests, per_second(1, 1))});
+    world.pass(std::chrono::seconds(2));
+    world.come(1);
+    world.back->begin(world.last());
+    world.come(2);
+    world.expect_final(2, Verdict::refused, Cause::over_budget);
+    EXPECT_EQ(world.in_use(0), 0) << "given back";
+    world.back->answer(world.last());
+    world.expect_final(1, Verdict::served, Cause::none);
+    // The third has none; the first has had its permit back, the second its place.
+    world.come(3);
+    world.expect_final(3, Verdict::refused, Cause::over_budget);
+    EXPECT_GT(world.front.of(3)->answer.retry_after, Micros{0});
+    EXPECT_EQ(world.in_use(1), 0);
+    EXPECT_EQ(world.admission.figures()[1].refused, 1u);
+    EXPECT_EQ(world.admission.figures()[2].refused, 1u);
+}
+
+// -------------------------------------------------------------------------------- between admission and first byte
+
+// Its connection comes up after the lease has ended, be it by a pause or by waiting: nothing goes out.
+TEST(BudgetAdmission, APermitThatEndsBeforeTheFirstByte) {
+    for (const Counts counts : {Counts::requests, Counts::attempts, Counts::concurrency}) {
+        for (const bool paused : {false, true}) {
+            World world(
+                {budget_of("a", counts, counts == Counts::concurrency ? places(1) : per_second(1, 1))});
+            world.lease(ms(300));
+            world.come(1, unsafe);
+            const auto key = world.last();
+            if (paused) {
+                world.Stage::clock.at += ms(301);
+            } else {
+                world.pass(ms(301));
+            }
+            EXPECT_FALSE(world.core->on_attempt_sending(key));
+            world.back->end(key, Outcome::moot);
+            world.expect_final(1, Verdict::refused, Cause::over_budget);
+            EXPECT_FALSE(world.front.of(1)->answer.may_have_run);
+            EXPECT_EQ(world.in_use(), 0);
+            EXPECT_EQ(world.admission.figures()[0].lapsed, 1u);
+        }
+    }
+}
+
+// One of two has lapsed: what was used of the other stays used, its place does not.
+TEST(BudgetAdmission, APlaceIsFreeWhereAnotherPermitHasLapsed) {
+    for (const bool place_lapses : {false, true}) {
+        World world({budget_of("a", Counts::concurrency, places(2)),
+                     budget_of("b", Counts::attempts, per_second(9, 9))});
+        world.come(1);
+        const auto first = world.last();
+        world.back->begin(first);
+        world.come(2);
+        const auto key = world.last();
+        world.lease(place_lapses ? std::vector{places(1), per_second(9, 9)}
+                                 : std::vector{places(2), per_second(9, 0)},
+                    std::chrono::hours(1));
+        EXPECT_FALSE(world.core->on_attempt_sending(key));
+        world.back->end(key, Outcome::moot);
+        world.expect_final(2, Verdict::refused, Cause::over_budget);
+        EXPECT_EQ(world.in_use(0), 1) << "the first one's";
+        world.back->answer(first);
+        EXPECT_EQ(world.in_use(0), 0);
+    }
+}
+
+// An attempt that never began leaves its permit to the next.
+TEST(BudgetAdmission, WhatNeverBeganNeedsNoOther) {
+    World world({budget_of("a", Counts::requests, per_second(0, 1)),
+                 budget_of("b", Counts::attempts, per_second(0, 1))});
+    world.lease({per_second(1000, 1), per_second(1000, 1)}, std::chrono::hours(1));
+    world.pass(ms(10));
+    world.lease({per_second(0, 1), per_second(0, 1)}, std::chrono::hours(1));
+    world.come(1);
+    world.back->end(world.last(), Outcome::connect_failed);
+    world.pass(ms(20));
+    ASSERT_EQ(world.back->sent.size(), 2u);
+    world.back->answer(world.last());
+    world.expect_final(1, Verdict::served, Cause::none);
+    world.come(2);
+    world.expect_final(2, Verdict::refused, Cause::over_budget);
+}
+
+TEST(BudgetAdmission, AFrontThatDoesNotWantItAnyMore) {
+    struct Unwilling final : core::Front {
+        bool on_sending(std::uint64_t) override { return false; }
+        void on_started(std::uint64_t, std::unique_ptr<core::Payload>) override {}
+        void on_final(std::uint64_t, core::Final) override {}
+    } unwilling;
+    World world({budget_of("a", Counts::concurrency, places(1))});
+    core::CallId id = 0;
+    core::Call c = world.call(world.pool, safe);
+    c.payload = std::make_shared<core::test::Ticket>(1);
+    ASSERT_EQ(world.core->take(std::move(c), unwilling, 1, &id), Taken::yes);
+    EXPECT_EQ(world.in_use(), 1);
+    EXPECT_FALSE(world.core->on_attempt_sending(world.last()));
+    EXPECT_EQ(world.in_use(), 0);
+    world.core->leave(id);
+    world.back->end(world.last(), Outcome::moot);
+}
+
+// ------------------------------------------------------------------------------------------ a further attempt
+
+// With no permit left, by what the first attempt came to: what may have run is not called refused.
+TEST(BudgetAdmission, AFurtherAttemptThatIsDenied) {
+    struct Case {
+        int class_index;
+        Outcome first;
+        Verdict verdict;
+        Cause cause;
+    };
+    const Case cases[] = {
+        {unsafe, Outcome::full, Verdict::refused, Cause::over_budget},
+        {safe, Outcome::full, Verdict::refused, Cause::over_budget},
+        {safe, Outcome::error, Verdict::failed, Cause::error},
+        {safe, Outcome::reset, Verdict::failed, Cause::broken},
+        {unsafe, Outcome::reset, Verdict::failed, Cause::broken},
+    };
+    for (const Case& each : cases) {
+        SCOPED_TRACE(static_cast<int>(each.first) * 10 + each.class_index);
+        World world({budget_of("a", Counts::retries, per_second(1, 1))});
+        world.holder.at(0).end_lease(world.now());
+        world.come(1, each.class_index);
+        world.back->answer(world.last(), each.first);
+        for (int i = 0; i < 50 && world.front.finals(1) == 0; ++i) world.pass(ms(10));
+        EXPECT_EQ(world.back->sent.size(), 1u);
+        EXPECT_EQ(world.front.finals(1), 1u);
+        EXPECT_EQ(world.front.of(1)->answer.verdict, each.verdict);
+        EXPECT_EQ(world.front.of(1)->answer.may_have_run, each.verdict == Verdict::failed);
+        // The module itself ends an unsafe one that may have run.
+        if (each.class_index == safe) {
+            EXPECT_STREQ(core::text_of(world.front.of(1)->answer.cause), core::text_of(each.cause));
+            EXPECT_GT(world.admission.figures()[0].refused, 0u);
+        }
+        if (each.verdict == Verdict::refused) {
+            EXPECT_GT(world.front.of(1)->answer.retry_after, Micros{0});
+        }
+    }
+}
+
+// Guards against a copy that has no permit and takes the call with it, whose first attempt would be answered.
+TEST(BudgetAdmission, ACopyThatIsDeniedLeavesTheOtherToGoOn) {
+    for (const bool lapses : {false, true}) {
+        World world({budget_of("a", Counts::retries, per_second(1000, 100))});
+        world.back->ends_at_once = true;
+        for (std::uint64_t token = 100; token < 140; ++token) {
+            world.come(token);
+            world.pass(ms(5));
+            world.back->answer(world.last());
+        }
+        world.come(1);
+        const auto first = world.last();
+        world.back->begin(first);
+        if (!lapses) world.holder.at(0).end_lease(world.now());
+        // So that the first is late while something is heard of the others.
+        std::optional<core::AttemptKey> copy;
+        for (std::uint64_t token = 200; token < 300 && !copy && world.front.finals(1) == 0; ++token) {
+            world.pass(ms(2));
+            for (const auto& key : world.back->out) {
+                if (key.call == first.call && key.number > 0) copy = key;
+            }
+            if (copy) break;
+            world.come(token);
+            world.back->answer(world.last());
+        }
+        ASSERT_EQ(world.front.finals(1), 0u);
+        EXPECT_EQ(copy.has_value(), lapses);
+        if (lapses) {
+            ASSERT_TRUE(copy);
+            world.holder.at(0).end_lease(world.now());
+            EXPECT_FALSE(world.core->on_attempt_sending(*copy));
+            world.back->end(*copy, Outcome::moot);
+        } else {
+            EXPECT_GT(world.admission.figures()[0].refused, 0u) << "a copy was wanted";
+        }
+        world.back->answer(first);
+        world.expect_final(1, Verdict::served, Cause::none);
+    }
+}
+
+// Guards against two attempts that wait for their connections and have one permit between them.
+TEST(BudgetAdmission, ACopyNeedsAPermitOfItsOwn) {
+    World world({budget_of("a", Counts::attempts, per_second(100'000, 10'000))});
+    for (std::uint64_t token = 100; token < 140; ++token) {
+        world.come(token);
+        world.pass(ms(5));
+        world.back->answer(world.last());
+    }
+    world.come(1);
+    const auto first = world.last();
+    std::optional<core::AttemptKey> copy;
+    for (std::uint64_t token = 200; token < 300 && !copy; ++token) {
+        world.pass(ms(2));
+        for (const auto& key : world.back->out) {
+            if (key.call == first.call && key.number > 0) copy = key;
+        }
+        if (copy) break;
+        world.come(token);
+        world.back->answer(world.last());
+    }
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(world.in_use(), 2);
+    EXPECT_TRUE(world.core->on_attempt_sending(*copy)) << "whichever begins first";
+    EXPECT_TRUE(world.core->on_attempt_sending(first));
+    world.back->answer(*copy);
+    world.expect_final(1, Verdict::served, Cause::none);
+}
+
+// -------------------------------------------------------------------------------------------------- places
+
+// A place is free with the attempt's end, unless that is not known at its server.
+TEST(BudgetAdmission, AnEndThatIsNotKnownKeepsItsPlace) {
+    struct Case {
+        const char* what;
+        std::function<void(World&, core::AttemptKey)> end;
+        bool kept;
+    };
+    const Case cases[] = {
+        {"answered", [](World& w, auto key) { w.back->answer(key); }, false},
+        {"an error", [](World& w, auto key) { w.back->answer(key, Outcome::error); }, false},
+        {"turned away", [](World& w, auto key) { w.back->answer(key, Outcome::full); }, false},
+        {"broken", [](World& w, auto key) { w.back->answer(key, Outcome::reset); }, true},
+        {"timed out", [](World& w, auto key) { w.back->begin(key), w.pass(std::chrono::seconds(2)); }, true},
+        {"left before its first byte", [](World& w, auto) { w.core->leave(w.last_id); }, false},
+        {"left with a part sent", [](World& w, auto key) { w.back->begin(key), w.core->leave(w.last_id); },
+         false},
+        {"left with all sent",
+         [](World& w, auto key) { w.back->begin(key), w.back->whole.insert(key), w.core->leave(w.last_id); },
+         true},
+    };
+    for (const Case& each : cases) {
+        Settings one_attempt = platform();
+        one_attempt.max_attempts = 1;
+        World world({budget_of("a", Counts::concurrency, places(1))}, one_attempt);
+        world.come(1, unsafe);
+        const Time began = world.now();
+        EXPECT_EQ(world.in_use(), 1) << each.what;
+        each.end(world, world.last());
+        EXPECT_EQ(world.in_use(), each.kept ? 1 : 0) << each.what;
+        const Time longest = began + world.holder.terms().longest;
+        EXPECT_EQ(world.holder.at(0).in_use(longest - Micros(1)), each.kept ? 1 : 0) << each.what;
+        EXPECT_EQ(world.holder.at(0).in_use(longest), 0) << each.what;
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------- at random
+
+// Whatever calls, attempts and leases do, permits that go out stay within each budget, and none is left over.
+TEST(BudgetAdmission, NothingLeaks) {
+    const int seeds = share_of(400, 40);
+    for (int seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937 random(static_cast<std::uint32_t>(seed));
+        const auto below = [&](std::uint32_t n) { return static_cast<std::uint32_t>(random()) % n; };
+        World world({budget_of("requests", Counts::requests, per_second(50, 5)),
+                     budget_of("attempts", Counts::attempts, per_second(60, 6)),
+                     budget_of("retries", Counts::retries, per_second(5, 2)),
+                     budget_of("places", Counts::concurrency, places(4))});
+        std::vector<core::CallId> ids;
+        std::uint64_t token = 0;
+        for (int step = 0; step < 400; ++step) {
+            const auto any_out = [&]() -> std::optional<core::AttemptKey> {
+                if (world.back->out.empty()) return std::nullopt;
+                auto at = world.back->out.begin();
+                std::advance(at, below(static_cast<std::uint32_t>(world.back->out.size())));
+                return *at;
+            };
+            switch (below(9)) {
+                case 0:
+                case 1:
+                    world.come(++token, static_cast<int>(below(3)), static_cast<int>(below(2)));
+                    ids.push_back(world.last_id);
+                    break;
+                case 2:
+                case 3:
+                    if (const auto key = any_out()) {
+                        if (!world.back->sending.contains(*key) && world.core->on_attempt_sending(*key)) {
+                            world.back->sending.insert(*key);
+                            if (below(4)) world.back->whole.insert(*key);
+                        } else if (!world.back->sending.contains(*key)) {
+                            world.back->end(*key, Outcome::moot);
+                        }
+                    }
+                    break;
+                case 4:
+                case 5:
+                    if (const auto key = any_out()) {
+                        static constexpr std::array begun{Outcome::ok, Outcome::ok, Outcome::error,
+                                                          Outcome::reset, Outcome::full};
+                        const bool sending = world.back->sending.contains(*key);
+                        world.back->end(*key, sending ? begun[below(begun.size())] : Outcome::connect_failed);
+                    }
+                    break;
+                case 6:
+                    if (!ids.empty()) world.core->leave(ids[below(static_cast<std::uint32_t>(ids.size()))]);
+                    break;
+                case 7:
+                    if (below(4) == 0)
+                        world.lease({per_second(below(51), below(6)), per_second(below(61), below(7)),
+                                     per_second(below(6), below(3)), places(below(5))},
+                                    ms(100 + below(2000)));
+                    break;
+                default:
+                    if (below(10) == 0) {
+                        world.Stage::clock.at += ms(below(3000));  // paused
+                    } else {
+                        world.pass(ms(below(50)));
+                    }
+            }
+            for (std::size_t i = 0; i < 4; ++i) {
+                ASSERT_GE(world.in_use(i), 0);
+                ASSERT_LE(world.in_use(i), world.holder.terms().budgets[i].whole.size);
+            }
+        }
+        world.pass(std::chrono::seconds(5));
+        while (!world.back->out.empty()) world.back->end(*world.back->out.begin(), Outcome::moot);
+        world.pass(std::chrono::seconds(5));
+        EXPECT_EQ(world.core->figures().open, 0u);
+        for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(world.in_use(i), 0) << i;
+    }
+}
+
+}  // namespace
+}  // namespace flaxdoor::budget::test
