--- a/src/apps/coordinator_commands.cpp
+++ b/src/apps/coordinator_commands.cpp
@@ -384,7 +384,10 @@
         const auto text = [&](budget::Amount amount) { return text_of(amount, counts[each.budget]); };
         held.add({each.budget, each.holder, each.instance.substr(0, 8), text(each.share), text(each.counted),
                   text(each.wants), std::to_string(each.in_use),
-                  each.left > Micros{0} ? text_of(each.left) : "ended", each.why.empty() ? "-" : each.why});
+                  each.left > Micros{0}   ? text_of(each.left)
+                  : each.left < Micros{0} ? "ended"
+                                          : "-",
+                  each.why.empty() ? "-" : each.why});
     }
     held.print(std::cout);
     if (view.left_out > 0) std::cout << "and " << view.left_out << " more rows\n\n";
--- a/src/coordinator/service.cpp
+++ b/src/coordinator/service.cpp
@@ -195,8 +195,8 @@
             continue;
         }
         view.held.push_back({std::move(held.budget), std::move(held.holder), std::move(held.instance),
-                             held.counted, held.share, held.wants, held.in_use, held.until - now,
-                             std::string(held.why)});
+                             held.counted, held.share, held.wants, held.in_use,
+                             held.until > Time{} ? held.until - now : Micros{0}, std::string(held.why)});
     }
     for (const auto& [key, refused] : refused_) {
         if (now - refused.at > refused_kept) continue;
--- a/src/coordinator/wire.h
+++ b/src/coordinator/wire.h
@@ -56,7 +56,7 @@
         std::string budget, holder, instance;
         budget::Amount counted, share, wants;
         std::int64_t in_use = 0;
-        Micros left{};    // of the last grant; negative: it has ended
+        Micros left{};    // of the last grant; negative: it has ended; zero: there was none
         std::string why;  // counted beyond the share
     };
     // Processes that were told no, and have not been granted anything since.
--- /dev/null
+++ b/tests/coordinator/service_parts.h
@@ -0,0 +1,101 @@
+// A coordinator's service over a disk in memory and a clock that the test moves.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "coordinator/service.h"
+#include "lines.h"
+#include "model.h"
+#include "sim_files.h"
+
+namespace flaxdoor::coordinator::test {
+
+// A journal owns its files; a test looks at them afterwards.
+class Borrowed final : public store::Files {
+public:
+    explicit Borrowed(store::Files& files) : files_(files) {}
+    int create(const std::string& name, std::unique_ptr<store::File>& file) override {
+        return files_.create(name, file);
+    }
+    int open(const std::string& name, std::unique_ptr<store::File>& file) override {
+        return files_.open(name, file);
+    }
+    int remove(const std::string& name) override { return files_.remove(name); }
+    int list(std::vector<std::string>& names) override { return files_.list(names); }
+    int sync_folder() override { return files_.sync_folder(); }
+    int lock() override { return files_.lock(); }
+
+private:
+    store::Files& files_;
+};
+
+struct MovedClock final : core::Clock {
+    Time now() const override { return at; }
+    Time at{};
+};
+
+struct Parts {
+    static constexpr const char* boot_id = "boot-1";
+    static constexpr Time start = std::chrono::hours(1);
+
+    Parts() { clock.at = start; }
+
+    static budget::Terms terms() {
+        budget::Terms terms;
+        terms.term = std::chrono::seconds(1);
+        terms.longest = std::chrono::seconds(1);
+        terms.expected = 3;
+        terms.budgets = {{"b", budget::Counts::requests, "", "", "", {9000, 9}, {100, 1}}};
+        return terms;
+    }
+    // Null when the store can't be opened.
+    std::unique_ptr<Service> service(GrantsLog* grants = nullptr) {
+        Journal::World world;
+        world.files = files ? std::move(files) : std::make_unique<store::test::SimFiles>();
+        world.chance = store::test::counting(1);
+        world.witness = std::move(witness);
+        world.boot = boot_id;
+        world.now = clock.at;
+        world.unix_now = Time(5);
+        Journal::Opened opened = Journal::open(std::move(world));
+        if (!opened.result) return nullptr;
+        return std::make_unique<Service>(terms(), std::move(opened), clock, log, grants);
+    }
+    budget::LeaseRequest request(const std::string& holder, std::uint64_t number, std::int64_t rate) const {
+        budget::LeaseRequest request;
+        request.holder = holder;
+        request.instance = holder + "-1";
+        request.number = number;
+        request.clock = clock.at;
+        request.needs = {{"b", budget::Counts::requests, {rate, 1}, {}, {100, 1}, 0}};
+        return request;
+    }
+    static http::Response send(Service& service, const std::string& method, const std::string& target,
+                               const std::string& body = {}, bool draining = false) {
+        http::Request message;
+        message.method = method;
+        message.target = target;
+        message.body = body;
+        http::Handler::From from;
+        from.draining = draining;
+        return std::get<http::Handler::Answer>(service.on_request(std::move(message), from)).message;
+    }
+    // Empty: it was a 503.
+    static std::optional<budget::LeaseReply> ask(Service& service, const budget::LeaseRequest& request) {
+        const http::Response answer = send(service, "POST", "/v1/leases", encode(request));
+        if (answer.status != 200) return std::nullopt;
+        auto reply = decode_reply(answer.body);
+        if (auto* const its = std::get_if<budget::LeaseReply>(&reply)) return std::move(*its);
+        return std::nullopt;
+    }
+
+    MovedClock clock;
+    flaxdoor::test::Lines log;
+    std::unique_ptr<store::Files> files;
+    std::unique_ptr<Witness> witness;
+};
+
+}  // namespace flaxdoor::coordinator::test
