--- a/src/settings/tables/budget.cpp
+++ b/src/settings/tables/budget.cpp
@@ -54,7 +54,13 @@
     return std::nullopt;
 }
 
+// A table that is not given has no value of a key that must be.
+bool has(const Row& row, std::string_view key) {
+    return row.slots()[row.table().index_of(key)].value.has_value();
+}
+
 std::optional<Objection> no_address(const Row& row) {
+    if (!has(row, "coordinator")) return std::nullopt;
     const std::string host = row.get(coordinator).host;
     in_addr room;
     if (inet_pton(AF_INET, host.c_str(), &room) == 1) return std::nullopt;
@@ -62,6 +68,7 @@
 }
 
 std::optional<Objection> witness_in_store(const Row& row) {
+    if (!has(row, "store")) return std::nullopt;
     const auto its = row.get(witness);
     std::string folder = row.get(store).text;
     while (folder.size() > 1 && folder.back() == '/') folder.pop_back();
@@ -80,34 +87,41 @@
     return counts_places(row) ? row.get(places).has_value() : row.get(rate).has_value();
 }
 
-std::optional<Objection> reserves_beyond_the_whole(const Values& values) {
+// The first row whose reserves are more than its whole, by `key`, which is what was given of them.
+template <class Over>
+std::optional<Objection> beyond(const Values& values, const char* what, const char* key, Over over) {
     if (!values.given("budget")) return std::nullopt;
     const auto count = values.row("budget").get(balancers);
     for (const Row& row : values.rows("budget_limit")) {
-        if (!whole_given(row)) continue;
-        const Size whole = whole_of(row), reserve = reserve_of(row);
-        const auto beyond = [&](const char* what, const char* key) {
-            return Objection{std::string("the reserves of ") + std::to_string(count) +
-                                 " balancers are more than " + what + " of " + row.label(),
-                             std::string("lower ") + key + ", or raise " + what, place_of(row, key)};
-        };
-        if (counts_places(row)) {
-            if (reserve.size * count > whole.size) return beyond("places", "reserve_places");
-            continue;
-        }
-        if (reserve.rate * count > whole.rate) return beyond("rate", "reserve_rate");
-        if (reserve.size * count > whole.size) {
-            Objection objection = beyond("burst", "reserve_burst");
-            if (!row.get(reserve_burst)) {
-                objection.at = place_of(row, "reserve_rate");
-                objection.mend = "raise burst: each reserve has at least one of it";
-            }
-            return objection;
-        }
+        if (!whole_given(row) || !over(whole_of(row), reserve_of(row), count)) continue;
+        const bool given = has(row, key);
+        return Objection{"the reserves of " + std::to_string(count) + " balancers are more than " + what +
+                             " of " + row.label(),
+                         given ? std::string("lower ") + key + ", or raise " + what
+                               : std::string("raise ") + what + ": each reserve has at least one of it",
+                         place_of(row, given ? key : "reserve_rate")};
     }
     return std::nullopt;
 }
 
+std::optional<Objection> reserves_beyond_the_rate(const Values& values) {
+    return beyond(values, "rate", "reserve_rate", [](Size whole, Size reserve, std::int64_t count) {
+        return reserve.rate * count > whole.rate;
+    });
+}
+
+std::optional<Objection> reserves_beyond_the_burst(const Values& values) {
+    return beyond(values, "burst", "reserve_burst", [](Size whole, Size reserve, std::int64_t count) {
+        return whole.rate > 0 && reserve.size * count > whole.size;
+    });
+}
+
+std::optional<Objection> reserves_beyond_the_places(const Values& values) {
+    return beyond(values, "places", "reserve_places", [](Size whole, Size reserve, std::int64_t count) {
+        return whole.rate == 0 && reserve.size * count > whole.size;
+    });
+}
+
 std::optional<Objection> without_budget(const Values& values) {
     if (values.given("budget")) return std::nullopt;
     const auto& rows = values.rows("budget_limit");
@@ -176,14 +190,20 @@
 }
 
 std::vector<SchemaCheck> checks() {
-    return {{{"budget_limit.counts", "budget_limit.rate", "budget_limit.burst", "budget_limit.places",
-              "budget_limit.reserve_rate", "budget_limit.reserve_burst", "budget_limit.reserve_places",
-              "budget.balancers"},
-             "The reserves of all balancers together are no more than the whole.",
-             reserves_beyond_the_whole},
-            {{"budget_limit.name", "coordinator.listen"},
-             "Budgets and a coordinator go with the table [budget].",
-             without_budget}};
+    return {
+        {{"budget_limit.reserve_rate", "budget_limit.counts", "budget_limit.rate", "budget.balancers"},
+         "The `reserve_rate`s of all balancers together are no more than `rate`.",
+         reserves_beyond_the_rate},
+        {{"budget_limit.reserve_burst", "budget_limit.reserve_rate", "budget_limit.counts",
+          "budget_limit.rate", "budget_limit.burst", "budget.balancers"},
+         "What of the burst goes with them is together no more than `burst`.",
+         reserves_beyond_the_burst},
+        {{"budget_limit.reserve_places", "budget_limit.counts", "budget_limit.places", "budget.balancers"},
+         "The `reserve_places` of all balancers together are no more than `places`.",
+         reserves_beyond_the_places},
+        {{"budget_limit.name", "coordinator.listen"},
+         "Budgets and a coordinator go with the table [budget].",
+         without_budget}};
 }
 
 }  // namespace flaxdoor::settings::budget
--- a/src/settings/tables/budget.h
+++ b/src/settings/tables/budget.h
@@ -50,7 +50,7 @@
     {.table = "budget",
      .name = "clock_drift",
      .fallback = 0.001,
-     .least = 0.00001,
+     .least = 0.0001,
      .most = 0.05,
      .unit = "share",
      .takes = Takes::restart,
