--- a/tests/http/drive.h
+++ b/tests/http/drive.h
@@ -52,6 +52,7 @@
     std::string written;              // without 100 Continue
     int continues = 0;
     int taken = 0;
+    int malformed = 0;
     int answered = 0;
     bool spoke_after_last = false;
     ServerState state = ServerState::reading;
@@ -112,6 +113,7 @@
                 if (answers_ == Answers::at_once) give();
                 return;
             case ServerEvent::Kind::malformed:
+                ++trace_.malformed;
                 trace_.events.push_back("malformed " + std::to_string(event.status));
                 trace_.full += trace_.events.back() + event.why + "\n";
                 return;
