--- a/tests/coordinator/journal_test.cpp
+++ b/tests/coordinator/journal_test.cpp
@@ -232,6 +232,31 @@
     }
 }
 
+// It knows nothing of what the later one grants: nor does its next start, though nothing is older or missing.
+TEST(CoordinatorJournal, OneThatSteppedDown) {
+    for (const bool stepped_down : {false, true}) {
+        Trail run;
+        Time end{};
+        {
+            Parts parts;
+            parts.files = std::make_unique<Borrowed>(run.files);
+            parts.witness = std::make_unique<Told>(run);
+            auto service = parts.service();
+            ASSERT_TRUE(service);
+            parts.clock.at += Micros(2'500'000);
+            ASSERT_EQ(parts.ask(*service, parts.request("n1", 1, 1))->verdict, budget::Verdict::granted);
+            auto request = parts.request("n1", 2, 1);
+            request.epoch = stepped_down ? 1000 : 0;
+            ASSERT_EQ(parts.ask(*service, request)->verdict,
+                      stepped_down ? budget::Verdict::stepped_down : budget::Verdict::granted);
+            end = parts.clock.at;
+        }
+        Trail again;
+        const auto opened = open(run.files.disk().visible(), run.witness, end, Parts::boot_id, again);
+        EXPECT_EQ(opened.start.current, !stepped_down) << opened.why;
+    }
+}
+
 // Two copies that went on apart: the one put back has more commits than the witness of the other, and is not current.
 TEST(CoordinatorJournal, CopiesThatWentOnApart) {
     Trail run;
