--- a/tests/coordinator/wire_test.cpp
+++ b/tests/coordinator/wire_test.cpp
@@ -32,7 +32,7 @@
     return text.replace(at, what.size(), other);
 }
 
-TEST(Wire, ARequestIsReadBack) {
+TEST(CoordinatorWire, ARequestIsReadBack) {
     const std::string text = encode(request());
     const auto read = decode_request(text);
     ASSERT_TRUE(std::holds_alternative<budget::LeaseRequest>(read)) << fault_of(text);
@@ -41,7 +41,7 @@
     EXPECT_EQ(std::get<budget::LeaseRequest>(read).taken, (budget::Fence{1791, 5}));
 }
 
-TEST(Wire, ARequestOfTheDesignIsRead) {
+TEST(CoordinatorWire, ARequestOfTheDesignIsRead) {
     EXPECT_EQ(
         fault_of(R"({"holder": "n3", "instance": "8f0c…", "number": 17, "taken": [1791, 5], "epoch": 1791,
         "clock_us": 123456789, "leaving": false, "needs": [{"budget": "bookings", "counts": "requests",
@@ -49,7 +49,7 @@
         "");
 }
 
-TEST(Wire, AReplyIsReadBack) {
+TEST(CoordinatorWire, AReplyIsReadBack) {
     budget::LeaseReply reply;
     reply.number = 17;
     reply.epoch = 1791;
@@ -71,7 +71,7 @@
     }
 }
 
-TEST(Wire, AViewIsReadBack) {
+TEST(CoordinatorWire, AViewIsReadBack) {
     View view;
     view.epoch = 9;
     view.waits = Micros(5);
@@ -86,7 +86,7 @@
 }
 
 // A text that is cut anywhere is malformed, and so is one byte changed to nonsense where the syntax stands.
-TEST(Wire, CutAtEveryByte) {
+TEST(CoordinatorWire, CutAtEveryByte) {
     budget::LeaseReply reply;
     reply.grants = {{"bookings", {9000, 9}}};
     const std::string texts[] = {encode(request()), encode(reply), encode(View{})};
@@ -103,7 +103,7 @@
     }
 }
 
-TEST(Wire, WhatIsBeyondItsBoundsNamesTheField) {
+TEST(CoordinatorWire, WhatIsBeyondItsBoundsNamesTheField) {
     const std::string good = encode(request());
     const struct {
         std::string text, fault;
