Coordinator's program test: no lines of the run before are read

Of three runs one failed: the log of the coordinator before was read ahead of its truncation, and its address asked.

--- a/tests/coordinator/program_test.sh
+++ b/tests/coordinator/program_test.sh
@@ -39,6 +39,7 @@
     done
 }
 start() {
+    : >log # else the lines of the one before may be read
     "$program" coordinator op.toml --grants grants 2>log &
     pid=$!
     told '^listening on '
