Budgets: a holder's wants by time, not by request

Who wants asks each fortieth of a term. The rate wanted was smoothed by request and took the last gap's where that was more, so one call in 75 ms counted as 13 a second; and a holder of one place told no want in every gap without a call, so that its wait for one began anew. Now a gap counts by its length, a burst beyond chance counts at once, and places are wanted as of the last term or two.

--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -10,7 +10,6 @@
 constexpr int asks_a_term = 3;           // so that one may be lost
 constexpr int least_gap_a_term = 40;     // part of the term between two requests, however much is wanted
 constexpr double head_room = 1.25;       // of the rate that was wanted lately
-constexpr double rate_weight = 0.5;      // of the last interval in that
 constexpr double rate_forgotten = 0.01;  // permits a second: no more than nothing
 
 }  // namespace
@@ -21,6 +20,7 @@
       instance_(std::move(options.instance)),
       chance_(options.seed),
       rates_(terms_.budgets.size(), 0),
+      peaks_(terms_.budgets.size(), Peak{0, 0, now}),
       reserves_from_(now + at_authority(terms_.longest, terms_.drift)),
       asked_at_(now),
       next_(now) {
@@ -62,10 +62,19 @@
         need.reserve = allowance.reserve();
         need.in_use = allowance.in_use(now);
         if (budget.counts == Counts::concurrency) {
-            need.wants.size = std::min(budget.whole.size, asked.most_in_use + asked.refused);
+            // The most of the last term or two: between two calls of a few a second it wants its place no less.
+            Peak& peak = peaks_[i];
+            if (now - peak.since >= terms_.term) peak = {peak.now, 0, now};
+            peak.now = std::max(peak.now, asked.most_in_use + asked.refused);
+            need.wants.size = std::min(budget.whole.size, std::max(peak.now, peak.before));
         } else {
+            // By how long the interval was: who wants asks often, and one call in a fortieth of a term is no rate.
+            // What chance can't have brought counts at once.
             const double lately = static_cast<double>(asked.wanted) / span;
-            rates_[i] = std::max(lately, rates_[i] + rate_weight * (lately - rates_[i]));
+            const double usual = static_cast<double>(terms_.term.count()) / (asks_a_term * 1e6);
+            const double foreseen = rates_[i] * span;
+            const bool burst = static_cast<double>(asked.wanted) > foreseen + 3 * std::sqrt(foreseen) + 3;
+            rates_[i] += (burst ? 1 : std::min(1.0, span / usual)) * (lately - rates_[i]);
             if (rates_[i] < rate_forgotten) rates_[i] = 0;
             const double wants =
                 std::min(rates_[i] * head_room * 1000, static_cast<double>(budget.whole.rate));
--- a/src/budget/holder.h
+++ b/src/budget/holder.h
@@ -60,6 +60,11 @@
         std::uint64_t number = 0;
         Time at{};
     };
+    // Places wanted at once, the most of this term and of the one before it.
+    struct Peak {
+        std::int64_t before = 0, now = 0;
+        Time since{};
+    };
     static constexpr std::size_t sent_most = 8;
 
     void bring_reserves(Time now);
@@ -71,6 +76,7 @@
     std::uint64_t chance_;
     std::vector<Allowance> allowances_;
     std::vector<double> rates_;  // wanted, permits a second, smoothed
+    std::vector<Peak> peaks_;    // of places
     Time reserves_from_{};       // of those that count places
     bool reserves_lost_ = false;
     bool left_ = false;
--- a/tests/budget/allowance_test.cpp
+++ b/tests/budget/allowance_test.cpp
@@ -128,7 +128,7 @@
     allowance.lease({1'000'000, 2000}, 1000s, 0s);
     EXPECT_LE(take_all(allowance, 1010ms), 1000);
     EXPECT_GE(take_all(allowance, 2020ms), 998) << "and hardly less";
-    EXPECT_EQ(allowance.next(2020ms), Micros(1011)) << "until there is one";
+    EXPECT_EQ(allowance.next(2020ms), Micros(203)) << "0.8 are left of twice 999.9; 0.2 come at 990 a second";
 }
 
 TEST(Places, AFastClockFreesNoneBeforeItsAttemptMustHaveEnded) {
--- a/tests/budget/holder_test.cpp
+++ b/tests/budget/holder_test.cpp
@@ -129,6 +129,27 @@
     EXPECT_EQ(holder.request(2s).needs[0].wants, (Amount{10000, 10})) << "no more than there is";
 }
 
+// Who wants asks each fortieth of a term: what came in one such gap must not count as a rate, nor none as no want.
+TEST(Holder, ShortGapsTellNoRateAndNoWantOfPlaces) {
+    Terms terms = terms_of();
+    terms.budgets[0].whole = {1'000'000, 1000};
+    terms.budgets.push_back({"p", Counts::concurrency, {}, {}, {}, {0, 10}, {}});
+    Holder holder({terms, "n1", "a", 1}, 0s);
+    (void)holder.request(0s);
+    for (int i = 0; i < 10; ++i) (void)holder.at(0).set_aside(500ms);
+    ASSERT_EQ(holder.request(1s).needs[0].wants.rate, 12'500);
+    (void)holder.at(0).set_aside(1010ms);
+    (void)holder.at(1).set_aside(1010ms);
+    const LeaseRequest one = holder.request(1010ms);
+    EXPECT_LT(one.needs[0].wants.rate, 14'000) << "one in ten milliseconds is no hundred a second";
+    EXPECT_EQ(one.needs[1].wants.size, 1);
+    EXPECT_EQ(holder.request(1100ms).needs[1].wants.size, 1) << "not again within this gap";
+    EXPECT_EQ(holder.request(4100ms).needs[1].wants.size, 1) << "of the term before";
+    EXPECT_EQ(holder.request(7200ms).needs[1].wants.size, 0);
+    for (int i = 0; i < 50; ++i) (void)holder.at(0).set_aside(7210ms);
+    EXPECT_GT(holder.request(7220ms).needs[0].wants.rate, 500'000) << "but a burst counts at once";
+}
+
 TEST(Holder, WhoLeavesHasNothingLeft) {
     Holder holder({terms_of({1000, 1}), "n1", "a", 1}, 0s);
     const auto request = holder.request(1s);
