--- a/src/log/events.h
+++ b/src/log/events.h
@@ -82,6 +82,22 @@
 inline constexpr auto door_tenant =
     event("door.tenant", Level::info, "door: tenant {tenant}: {figures}", "tenant", "figures");
 
+// --------------------------------------------------------------------------------- budgets of the fleet
+
+inline constexpr auto budget_leased =
+    event("budget.leased", Level::info, "budgets: leased by the coordinator at {address}", "address");
+inline constexpr auto budget_unleased =
+    event("budget.unleased", Level::warning, "budgets: no lease, only the reserve: {why}", "why");
+inline constexpr auto budget_name_taken = event(
+    "budget.name_taken", Level::error, "budgets: no lease and no reserve, the name is taken: {why}", "why");
+inline constexpr auto budget_clock_off =
+    event("budget.clock_off", Level::error, "budgets: the clocks do not agree: {why}", "why");
+inline constexpr auto budget_stepped_down =
+    event("budget.stepped_down", Level::warning, "budgets: the coordinator has stepped down: {why}", "why");
+inline constexpr auto budget_at_odds =
+    event("budget.at_odds", Level::error, "budgets: the coordinator has other terms: {why}", "why");
+inline constexpr auto budget_terms = event("budget.terms", Level::warning, "budgets: {what}", "what");
+
 // ----------------------------------------------------------------------------------------- the gateway
 
 inline constexpr auto gateway_listening = event(
@@ -126,8 +142,37 @@
 inline constexpr auto postgres_ended =
     event("postgres.ended", Level::info, "postgres: {units} units went to the module", "units");
 
+// ------------------------------------------------------------------------------------- the coordinator
+
+inline constexpr auto coordinator_waiting =
+    event("coordinator.waiting", Level::info, "coordinator: nothing is granted for {wait_ms} ms: {why}",
+          "wait_ms", "why");
+inline constexpr auto coordinator_current =
+    event("coordinator.current", Level::info, "coordinator: the store is the latest, leases go on");
+inline constexpr auto coordinator_stepped_down =
+    event("coordinator.stepped_down", Level::error,
+          "coordinator: stepped down: {holder} has heard of another of a later epoch", "holder");
+inline constexpr auto coordinator_not_written =
+    event("coordinator.not_written", Level::error, "coordinator: nothing is granted: {why}", "why");
+inline constexpr auto coordinator_writes_again =
+    event("coordinator.writes_again", Level::info, "coordinator: grants are written again");
+inline constexpr auto coordinator_witness =
+    event("coordinator.witness", Level::warning, "coordinator: {why}; the next start waits", "why");
+inline constexpr auto coordinator_name_taken =
+    event("coordinator.name_taken", Level::warning,
+          "coordinator: {holder} is the name of two processes: {instance} is refused: {why}", "holder",
+          "instance", "why");
+inline constexpr auto coordinator_clock_off =
+    event("coordinator.clock_off", Level::warning,
+          "coordinator: the clock of {holder} ({instance}) is off: {why}", "holder", "instance", "why");
+inline constexpr auto coordinator_refused =
+    event("coordinator.refused", Level::warning, "coordinator: {holder} ({instance}): {verdict}: {why}",
+          "holder", "instance", "verdict", "why");
+inline constexpr auto coordinator_kept =
+    event("coordinator.kept", Level::warning, "coordinator: the old wholes stay: {why}", "why");
+
 // The table: each of them once.
-inline constexpr std::array<const core::Event*, 51> all{&core::events::from_module,
+inline constexpr std::array<const core::Event*, 68> all{&core::events::from_module,
                                                         &core::events::fault,
                                                         &not_started,
                                                         &listening,
@@ -159,6 +204,13 @@
                                                         &store_trouble,
                                                         &door_terms,
                                                         &door_tenant,
+                                                        &budget_leased,
+                                                        &budget_unleased,
+                                                        &budget_name_taken,
+                                                        &budget_clock_off,
+                                                        &budget_stepped_down,
+                                                        &budget_at_odds,
+                                                        &budget_terms,
                                                         &gateway_listening,
                                                         &gateway_port_failed,
                                                         &gateway_port_closed,
@@ -177,6 +229,16 @@
                                                         &gateway_lease_ours,
                                                         &postgres_listening,
                                                         &postgres_kept,
-                                                        &postgres_ended};
+                                                        &postgres_ended,
+                                                        &coordinator_waiting,
+                                                        &coordinator_current,
+                                                        &coordinator_stepped_down,
+                                                        &coordinator_not_written,
+                                                        &coordinator_writes_again,
+                                                        &coordinator_witness,
+                                                        &coordinator_name_taken,
+                                                        &coordinator_clock_off,
+                                                        &coordinator_refused,
+                                                        &coordinator_kept};
 
 }  // namespace flaxdoor::log::events
