--- a/lab/apps/flaxdoor_lab.cpp
+++ b/lab/apps/flaxdoor_lab.cpp
@@ -17,6 +17,7 @@
 #include "budgets/draw.h"
 #include "budgets/explore.h"
 #include "budgets/figures.h"
+#include "coordinator/wire.h"
 #include "experiment/plan.h"
 #include "explore/explore.h"
 #include "hunt/hunt.h"
@@ -388,7 +389,10 @@
     print(budgets::use_figures(words.spread));
     print(budgets::recovery_figures(words.spread));
     print(budgets::broken_figures(10 * words.spread));
-    print(budgets::cost_figures([] { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }));
+    print(budgets::cost_figures(
+        [] { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; },
+        {[](const auto& request) { return flaxdoor::coordinator::encode(request).size(); },
+         [](const auto& reply) { return flaxdoor::coordinator::encode(reply).size(); }}));
     return 0;
 }
 
--- a/lab/budgets/figures.h
+++ b/lab/budgets/figures.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "budget/messages.h"
 #include "budgets/world.h"
 
 namespace flaxdoor::lab::budgets {
@@ -36,8 +37,13 @@
 
 std::vector<Figure> use_figures(std::uint64_t seeds);
 std::vector<Figure> recovery_figures(std::uint64_t seeds);
+// How many bytes a message is on the wire.
+struct Wire {
+    std::function<std::size_t(const budget::LeaseRequest&)> request;
+    std::function<std::size_t(const budget::LeaseReply&)> reply;
+};
 // 300 balancers, 20 budgets.
-std::vector<Figure> cost_figures(const std::function<double()>& cpu_seconds);
+std::vector<Figure> cost_figures(const std::function<double()>& cpu_seconds, const Wire& wire);
 // A clock that is off by more than the bound, and two authorities at once.
 std::vector<Figure> broken_figures(std::uint64_t seeds);
 
