--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr int asks_a_term = 3;           // so that one may be lost
-constexpr int least_gap_a_term = 40;     // part of the term between two requests, however much is wanted
-constexpr double head_room = 1.25;       // of the rate that was wanted lately
+constexpr int asks_a_term = 3;        // so that one may be lost
+constexpr int least_gap_a_term = 40;  // part of the term between two requests, however much is wanted
+constexpr double head_room = 1.1;     // of the rate that was wanted lately (1.25: a tenth of the whole idle)
 constexpr double rate_forgotten = 0.01;  // permits a second: no more than nothing
 
 }  // namespace
