Fleet tests: the first of their harness and cases

Need: balancers, coordinator, relays and stand-in servers as processes, with faults between them. Change: the harness that starts and joins them, and a first form of the cases.

--- /dev/null
+++ b/tests/budget/fleet.cpp
@@ -0,0 +1,450 @@
+#include "fleet.h"
+
+#include <time.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+#include "../plain_config.h"
+#include "standins/peers.h"
+#include "standins/run_until.h"
+
+namespace flaxdoor::test {
+
+namespace {
+
+using judge::Us;
+using standins::Program;
+using standins::peers::text_of;
+
+constexpr auto tick_every = milliseconds(2);
+// From a balancer's permit to its first byte at a server, beside what this loop was late by: the balancer's own turn
+// of the loop, on a machine that others use as well.
+constexpr Us way_of_a_turn = 50'000;
+constexpr std::uint64_t seeds_of_clients = 1'000;  // a fleet's
+
+Us us(std::chrono::steady_clock::duration time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+// The two clocks differ by how long the machine has slept.
+Us boot_time(standins::Time steady) { return boot_now() - us(std::chrono::steady_clock::now() - steady); }
+
+std::uint16_t port_told(const Program& program) {
+    for (const auto& line : program.log()) {
+        const auto at = line.find("listening on 127.0.0.1:");
+        if (at != std::string::npos)
+            return static_cast<std::uint16_t>(std::stoul(line.substr(line.rfind(':') + 1)));
+    }
+    return 0;
+}
+
+std::string word_of(judge::Counts counts) {
+    switch (counts) {
+        case judge::Counts::requests: return "requests";
+        case judge::Counts::attempts: return "attempts";
+        case judge::Counts::retries: return "retries";
+        case judge::Counts::concurrency: return "concurrency";
+    }
+    return "";
+}
+
+std::string decimal(std::int64_t thousandths) {
+    std::ostringstream text;
+    text << thousandths / 1000 << '.' << std::setw(3) << std::setfill('0') << thousandths % 1000;
+    return text.str();
+}
+
+}  // namespace
+
+Us boot_now() {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return static_cast<Us>(time.tv_sec) * 1'000'000 + time.tv_nsec / 1000;
+}
+
+Fleet::Fleet(Options options) : options_(std::move(options)), random_(options_.seed), ticker_(loop) {
+    std::cout << "seed " << options_.seed << '\n';
+    for (const Limit& each : options_.limits) wholes_.push_back({{0, each.whole}});
+    roster_ = std::make_unique<standins::Roster>(loop);
+    std::vector<standins::RosterEntry> entries;
+    for (std::size_t i = 0; i < 2; ++i) {
+        standins::BookingNode::Settings settings;
+        settings.name = "s-" + std::to_string(i);
+        settings.seed = options_.seed;
+        settings.workers = 4096;
+        for (const Limit& each : options_.limits)
+            settings.work_by_class[each.of_class] = {each.work, standins::Work::Shape::fixed};
+        settings.on_event = [this, i](const standins::NodeEvent& event) { on_event(i, event); };
+        servers_.push_back(std::make_unique<standins::BookingNode>(loop, std::move(settings)));
+        standins::RosterEntry entry;
+        entry.host = "s-" + std::to_string(i);
+        entry.dial = text_of(servers_[i]->address());
+        entry.site = "here";
+        entry.cls = "full node";
+        entries.push_back(entry);
+    }
+    roster_->set(entries);
+    for (int i = 0; i < options_.balancers; ++i) add();
+    tick();
+}
+
+Fleet::~Fleet() {
+    if (testing::Test::HasFailure() || std::uncaught_exceptions() > 0) {
+        const auto show = [](const std::string& who, const Program& program) {
+            const auto& lines = program.log();
+            const std::size_t first = lines.size() > 30 ? lines.size() - 30 : 0;
+            for (std::size_t i = first; i < lines.size(); ++i) std::cerr << who << ": " << lines[i] << '\n';
+        };
+        if (coordinator_) show("coordinator", *coordinator_);
+        for (const auto& each : balancers_) {
+            if (each->program) show(each->name, *each->program);
+        }
+    }
+    for (const auto& each : balancers_) {
+        if (each->program) each->program->signal(SIGCONT);
+    }
+}
+
+// ----------------------------------------------------------------------------------------------- coordinator
+
+std::string Fleet::operators(const std::string& coordinator, bool coordinates) const {
+    std::ostringstream text;
+    text << "[budget]\ncoordinator = \"" << coordinator << "\"\nbalancers = " << options_.balancers
+         << "\nterm = \"" << options_.term.count() << "ms\"\nlongest_deadline = \""
+         << options_.longest.count() << "ms\"\n";
+    for (std::size_t i = 0; i < options_.limits.size(); ++i) {
+        const Limit& limit = options_.limits[i];
+        const judge::Amount whole = coordinates ? wholes_[i].back().amount : limit.whole;
+        text << "\n[[budget_limit]]\nname = \"" << limit.name << "\"\ncounts = \"" << word_of(limit.counts)
+             << "\"\n";
+        if (!limit.of_class.empty()) text << "class = \"" << limit.of_class << "\"\n";
+        if (limit.counts == judge::Counts::concurrency) {
+            text << "places = " << whole.size << "\nreserve_places = " << limit.reserve.size << "\n";
+        } else {
+            text << "rate = " << decimal(whole.rate) << "\nburst = " << whole.size << "\n";
+            if (limit.reserve.rate > 0) {
+                text << "reserve_rate = " << decimal(limit.reserve.rate)
+                     << "\nreserve_burst = " << limit.reserve.size << "\n";
+            }
+        }
+    }
+    if (coordinates) {
+        text << "\n[coordinator]\nlisten = \"127.0.0.1:0\"\nstore = \"" << folder_.path() << "/store\"\n";
+        if (options_.witness) text << "witness = \"" << folder_.path() << "/witness\"\n";
+    }
+    return text.str();
+}
+
+void Fleet::start_coordinator() {
+    const std::string file = folder_.write("coordinator.toml", operators("127.0.0.1:1", true));
+    std::filesystem::create_directories(folder_.path() + "/store");
+    coordinator_ = std::make_unique<Program>(loop);
+    coordinator_->start({BUDGET_COMMAND, "coordinator", file, "--grants",
+                         folder_.path() + "/grants-" + std::to_string(++coordinator_starts_)},
+                        {});
+    until([&] { return port_told(*coordinator_) != 0 || coordinator_->ended(); });
+    if (coordinator_->ended()) throw std::runtime_error("the coordinator ended instead of listening");
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), port_told(*coordinator_));
+    for (const auto& each : balancers_) each->relay->to(address);
+}
+
+void Fleet::kill_coordinator() {
+    coordinator_->signal(SIGKILL);
+    until([&] { return coordinator_->ended(); });
+    killed_.push_back(std::move(coordinator_));
+}
+
+void Fleet::copy_store() {
+    std::filesystem::remove_all(folder_.path() + "/aside");
+    std::filesystem::copy(folder_.path() + "/store", folder_.path() + "/aside",
+                          std::filesystem::copy_options::recursive);
+}
+
+void Fleet::restore_store() {
+    std::filesystem::remove_all(folder_.path() + "/store");
+    std::filesystem::copy(folder_.path() + "/aside", folder_.path() + "/store",
+                          std::filesystem::copy_options::recursive);
+}
+
+void Fleet::empty_store() { std::filesystem::remove_all(folder_.path() + "/store"); }
+
+void Fleet::set_whole(std::size_t limit, judge::Amount whole) {
+    wholes_[limit].push_back({boot_now(), whole});
+    std::filesystem::rename(folder_.write("coordinator.new", operators("127.0.0.1:1", true)),
+                            folder_.path() + "/coordinator.toml");
+    const std::size_t told = coordinator_->log().size();
+    coordinator_->signal(SIGHUP);
+    until([&] { return coordinator_->log().size() > told; });
+    wholes_[limit].back().from = boot_now();  // it granted by the old one until about now
+}
+
+// ------------------------------------------------------------------------------------------------- balancers
+
+std::size_t Fleet::add(std::string name) {
+    auto balancer = std::make_unique<Balancer>();
+    const std::size_t at = balancers_.size();
+    balancer->name = name.empty() ? "n" + std::to_string(at) : std::move(name);
+    balancer->relay = std::make_unique<standins::Relay>(
+        loop, standins::Relay::Settings{options_.seed * 100 + at,
+                                        [this](std::string_view body) { on_request(body); }});
+    if (coordinator_) balancer->relay->to({asio::ip::address_v4::loopback(), port_told(*coordinator_)});
+    balancers_.push_back(std::move(balancer));
+    return at;
+}
+
+std::string Fleet::configuration(const Balancer& balancer) const {
+    json config = plain();
+    config["name"] = balancer.name;
+    config["discovery"] = text_of(roster_->address());
+    config["limits"] = {{"sockets", 1024}};
+    json hosts = json::array();
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+        hosts.push_back({{"host", servers_[i]->name()},
+                         {"dial", text_of(servers_[i]->address())},
+                         {"site", "here"},
+                         {"class", "full node"},
+                         {"block", 1},
+                         {"health", "active"},
+                         {"share", 1.0},
+                         {"born_ms", 0}});
+    }
+    config["known"] = {{"seq", roster_->version()}, {"whole", true}, {"hosts", hosts}};
+    config["settings"]["services"] = {service("look", "idempotent", 150, 5000),
+                                      service("once", "at_most_once", 150, 5000)};
+    config["settings"]["limits"].update({{"retry_after", true}, {"max_retry_after", 500.0}});
+    return config.dump();
+}
+
+void Fleet::start(const std::vector<std::size_t>& which) {
+    for (const std::size_t i : which) {
+        Balancer& balancer = *balancers_[i];
+        const std::string at = std::to_string(i);
+        const std::string file =
+            folder_.write("operators-" + at, operators(text_of(balancer.relay->address()), false));
+        const std::string config = folder_.write("config-" + at, configuration(balancer));
+        balancer.program = std::make_unique<Program>(loop);
+        balancer.program->start({BUDGET_BALANCER, "--operator", file}, {"NODE_CONFIG=" + config});
+    }
+    for (const std::size_t i : which) {
+        Program& program = *balancers_[i]->program;
+        until([&] { return port_told(program) != 0 || program.ended(); });
+        if (program.ended()) throw std::runtime_error(balancers_[i]->name + " ended instead of listening");
+        balancers_[i]->port = port_told(program);
+    }
+}
+
+void Fleet::start_all() {
+    std::vector<std::size_t> all;
+    for (std::size_t i = 0; i < balancers_.size(); ++i) all.push_back(i);
+    start(all);
+}
+
+void Fleet::kill(const std::vector<std::size_t>& which) {
+    for (const std::size_t i : which) balancers_[i]->program->signal(SIGKILL);
+    for (const std::size_t i : which) {
+        demand(i, 0);
+        Balancer& balancer = *balancers_[i];
+        until([&] { return balancer.program->ended(); });
+        killed_.push_back(std::move(balancer.program));
+    }
+}
+
+void Fleet::pause(std::size_t i) { balancers_[i]->program->stop(); }
+void Fleet::wake(std::size_t i) { balancers_[i]->program->signal(SIGCONT); }
+
+void Fleet::leave(std::size_t i) {
+    demand(i, 0);
+    Balancer& balancer = *balancers_[i];
+    balancer.program->signal(SIGTERM);
+    until([&] { return balancer.program->ended(); });
+    EXPECT_EQ(balancer.program->status(), 0) << balancer.name;
+    killed_.push_back(std::move(balancer.program));
+}
+
+// --------------------------------------------------------------------------------------------------- clients
+
+void Fleet::demand(std::size_t i, double rate, milliseconds patience) {
+    Balancer& balancer = *balancers_[i];
+    if (balancer.clients) {
+        balancer.clients->stop();
+        former_clients_.push_back(std::move(balancer.clients));
+    }
+    if (rate <= 0) return;
+    standins::LoadClient::Settings settings;
+    settings.targets = {{asio::ip::address_v4::loopback(), balancer.port}};
+    settings.classes.clear();
+    for (const Limit& each : options_.limits) {
+        standins::ClassPlan plan;
+        plan.name = each.of_class;
+        plan.kind = each.of_class == "look" ? standins::CallKind::safe : standins::CallKind::unsafe;
+        plan.weight = each.weight;
+        plan.budget_ms = static_cast<int>(patience.count());
+        settings.classes.push_back(plan);
+    }
+    settings.seed = options_.seed * seeds_of_clients + ++clients_made_;
+    settings.rate = rate;
+    settings.connections = 400;
+    settings.duration = std::chrono::seconds(120);
+    settings.wait_beyond = milliseconds(100);
+    settings.on_result = [this, i](const standins::CallResult& result) {
+        calls_[result.call_id] = {boot_time(result.intended), i};
+        if (result.outcome == standins::Outcome::served) ++balancers_[i]->served;
+    };
+    balancer.clients = std::make_unique<standins::LoadClient>(loop, std::move(settings));
+    balancer.clients->start();
+}
+
+void Fleet::demand_all(double rate) {
+    for (std::size_t i = 0; i < balancers_.size(); ++i) {
+        if (balancers_[i]->program) demand(i, rate);
+    }
+}
+
+// ----------------------------------------------------------------------------------------------- what is seen
+
+void Fleet::on_event(std::size_t server, const standins::NodeEvent& event) {
+    using Kind = standins::NodeEvent::Kind;
+    const auto key = std::pair(server, event.request);
+    if (event.kind == Kind::first_byte) {
+        running_[key] = {0, boot_time(event.at)};
+    } else if (event.kind == Kind::last_byte) {
+        Running& its = running_[key];
+        its.attempt = attempts_.size();
+        attempts_.push_back({0, its.first_byte, 0, event.call_id, {}, {}, event.cls});
+    } else if (event.kind == Kind::finished) {
+        const auto its = running_.find(key);
+        if (its == running_.end()) return;
+        attempts_[its->second.attempt].ended = boot_time(event.at);
+        running_.erase(its);
+    }
+}
+
+void Fleet::on_request(std::string_view body) {
+    const auto object = json::parse(body, nullptr, false);
+    if (object.is_discarded() || !object.contains("taken")) return;
+    told_.push_back({boot_now(),
+                     object["holder"],
+                     object["instance"],
+                     {object["taken"][0], object["taken"][1]},
+                     object.value("leaving", false)});
+}
+
+// How late this loop is: so long an attempt may have waited unseen.
+void Fleet::tick() {
+    ticker_.expires_after(tick_every);
+    ticker_.async_wait([this](boost::system::error_code error) {
+        if (error) return;
+        late_most_ = std::max(late_most_, std::chrono::steady_clock::now() - ticker_.expiry());
+        tick();
+    });
+}
+
+// ------------------------------------------------------------------------------------------------------ waits
+
+void Fleet::check_alive() {
+    for (const auto& each : balancers_) {
+        if (each->program && each->program->ended())
+            throw std::runtime_error(each->name + " ended by itself");
+    }
+}
+
+void Fleet::until(const std::function<bool()>& holds, int where) {
+    if (!standins::run_until(loop, holds))
+        throw std::runtime_error("waited in vain in line " + std::to_string(where));
+}
+
+void Fleet::run_for(milliseconds time) {
+    bool over = false;
+    asio::steady_timer timer(loop, time);
+    timer.async_wait([&](boost::system::error_code) { over = true; });
+    until([&] { return over; });
+    check_alive();
+}
+
+Us Fleet::until_full(std::size_t limit, Us from, double share, int where) {
+    std::optional<Us> took;
+    Us looked = 0;
+    until(
+        [&] {
+            if (boot_now() - looked < 20'000) return false;
+            looked = boot_now();
+            judge::Log seen;
+            seen.attempts = attempts_;
+            took = judge::until_use(budget_of(limit), seen, from, options_.term.count() * 1000, share);
+            return took.has_value();
+        },
+        where);
+    check_alive();
+    return *took;
+}
+
+// ---------------------------------------------------------------------------------------------------- judging
+
+judge::Budget Fleet::budget_of(std::size_t i) const {
+    const Limit& limit = options_.limits[i];
+    return {limit.name, limit.counts, {}, limit.of_class, wholes_[i], limit.reserve, options_.balancers};
+}
+
+Us Fleet::way() const { return way_of_a_turn + us(late_most_); }
+
+judge::Log Fleet::log() const {
+    judge::Log all;
+    all.attempts = attempts_;
+    all.told = told_;
+    for (judge::Attempt& each : all.attempts) {
+        const auto call = calls_.find(each.call);
+        if (call == calls_.end()) throw std::runtime_error("no client sent " + each.call);
+        each.sent = call->second.sent;
+        each.balancer = balancers_[call->second.balancer]->name;
+    }
+    for (int i = 1; i <= coordinator_starts_; ++i) {
+        std::ifstream file(folder_.path() + "/grants-" + std::to_string(i));
+        for (auto& each : judge::read_grants(file)) all.grants.push_back(std::move(each));
+    }
+    return all;
+}
+
+double Fleet::use_over(std::size_t limit, double terms) {
+    const Us from = boot_now();
+    run_terms(terms);
+    const Us to = boot_now();
+    judge::Log seen;
+    seen.attempts = attempts_;
+    const auto count = judge::used(budget_of(limit), seen, from, to);
+    return static_cast<double>(count) * 1e9 /
+           (static_cast<double>(wholes_[limit].back().amount.rate) * static_cast<double>(to - from));
+}
+
+std::int64_t Fleet::served_by(std::size_t balancer, double terms) {
+    const std::uint64_t before = balancers_[balancer]->served;
+    run_terms(terms);
+    return static_cast<std::int64_t>(balancers_[balancer]->served - before);
+}
+
+std::int64_t Fleet::expect_holds() {
+    for (std::size_t i = 0; i < balancers_.size(); ++i) demand(i, 0);
+    until([&] {
+        return std::all_of(former_clients_.begin(), former_clients_.end(),
+                           [](const auto& each) { return each->done(); }) &&
+               std::all_of(attempts_.begin(), attempts_.end(),
+                           [](const auto& each) { return each.ended != 0; });
+    });
+    check_alive();
+    const judge::Log seen = log();
+    const judge::Terms terms{options_.term.count() * 1000, 0.001, options_.longest.count() * 1000, way()};
+    std::cout << seen.grants.size() << " grants, " << seen.told.size() << " requests for them, "
+              << seen.attempts.size() << " attempts; way allowed " << way() / 1000 << " ms\n";
+    EXPECT_FALSE(seen.grants.empty());
+    for (std::size_t i = 0; i < options_.limits.size(); ++i) {
+        for (const auto& each : judge::findings(terms, budget_of(i), seen)) ADD_FAILURE() << each.text;
+    }
+    return judge::used(budget_of(0), seen, 0, boot_now());
+}
+
+}  // namespace flaxdoor::test
