Fleet tests: a lease that is cut off behind late answers, a coordinator killed right behind a grant

Each is to find one break of its own: a term counted from the answer's receipt, a grant that is told before it is written.

--- a/tests/budget/fleet.cpp
+++ b/tests/budget/fleet.cpp
@@ -166,6 +166,13 @@
     killed_.push_back(std::move(coordinator_));
 }
 
+bool Fleet::granted() const {
+    std::error_code none;
+    const auto bytes =
+        std::filesystem::file_size(folder_.path() + "/grants-" + std::to_string(coordinator_starts_), none);
+    return !none && bytes > 0;
+}
+
 void Fleet::copy_store() {
     std::filesystem::remove_all(folder_.path() + "/aside");
     std::filesystem::copy(folder_.path() + "/store", folder_.path() + "/aside",
--- a/tests/budget/fleet.h
+++ b/tests/budget/fleet.h
@@ -59,6 +59,7 @@
     // ------------------------------------------------------------------------------------------- coordinator
     void start_coordinator();  // returns when it listens
     void kill_coordinator();
+    bool granted() const;  // it has, since its start
     void copy_store();     // puts a copy aside
     void restore_store();  // the copy takes the store's place
     void empty_store();
--- a/tests/budget/fleet_test.cpp
+++ b/tests/budget/fleet_test.cpp
@@ -141,6 +141,29 @@
     }
 }
 
+// A lease counts from when it was asked for: one whose answers are late, and which is then cut off, has let go of its
+// share by the time that others get it.
+TEST(BudgetFleet, CutOffBehindLateAnswers) {
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+        auto options = fleet_of(2, seed, 8);
+        options.term = milliseconds(1500);
+        Fleet fleet(options);
+        begin(fleet);
+        fleet.relay(0).chances({.held = 1, .hold = options.term * 4 / 15});  // as late as is still waited for
+        fleet.demand(1, 0);
+        fleet.demand(0, wanted);
+        fleet.run_terms(1.5);
+        // The last request has been answered, and the answer is on its way.
+        const auto held = fleet.relay(0).counts().held;
+        fleet.until([&] { return fleet.relay(0).counts().held > held; });
+        fleet.relay(0).cut(Cut::requests);
+        const Us at = boot_now();
+        fleet.demand(1, wanted);
+        (void)fleet.until_full(calls, at);
+        fleet.expect_holds();
+    }
+}
+
 TEST(BudgetFleet, AnswersLostDoubledAndLate) {
     for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
         const auto options = fleet_of(4, seed, 12);
@@ -170,14 +193,18 @@
     struct Case {
         const char* name;
         bool witness, copy, empty;
+        bool cut = true;  // who has most of it can't tell whoever comes
     };
     for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
-        for (const Case& each : {Case{"with its store and witness", true, false, false},
-                                 Case{"with its store, no witness", false, false, false},
-                                 Case{"with a copy of its store", true, true, false},
-                                 Case{"with a copy of its store, no witness", false, true, false},
-                                 Case{"with an empty store", true, false, true},
-                                 Case{"with an empty store, no witness", false, false, true}}) {
+        for (const Case& each :
+             {Case{"with its store and witness", true, false, false},
+              Case{"with its store, no witness", false, false, false},
+              Case{"with a copy of its store", true, true, false},
+              Case{"with a copy of its store, no witness", false, true, false},
+              Case{"with an empty store", true, false, true},
+              Case{"with an empty store, no witness", false, false, true},
+              Case{"with its store and witness, nobody cut off", true, false, false, false},
+              Case{"with its store, no witness, nobody cut off", false, false, false, false}}) {
             SCOPED_TRACE(each.name);
             auto options = fleet_of(3, seed, 12);
             options.witness = each.witness;
@@ -189,12 +216,11 @@
                 fleet.start_coordinator();
                 (void)fleet.until_full(calls, boot_now());
             }
-            // One has most of it, and can't tell whoever comes.
             fleet.demand(0, wanted);
             fleet.demand(1, 0);
             fleet.demand(2, 0);
             fleet.run_terms(2);
-            fleet.relay(0).cut(Cut::both);
+            if (each.cut) fleet.relay(0).cut(Cut::both);
             fleet.kill_coordinator();
             if (each.copy) fleet.restore_store();
             if (each.empty) fleet.empty_store();
@@ -211,6 +237,24 @@
     }
 }
 
+// What it has granted is known to its next start, also when it is killed before the reply can have been read.
+TEST(BudgetFleet, TheCoordinatorKilledRightBehindAGrant) {
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+        Fleet fleet(fleet_of(2, seed, 12));
+        fleet.start_coordinator();
+        fleet.start({0});
+        fleet.demand(0, wanted);
+        fleet.until([&] { return fleet.granted(); });
+        fleet.relay(0).cut(Cut::requests);
+        fleet.kill_coordinator();
+        fleet.start_coordinator();
+        fleet.start({1});
+        fleet.demand(1, wanted);
+        (void)fleet.until_full(calls, boot_now(), 0.9);
+        fleet.expect_holds();
+    }
+}
+
 TEST(BudgetFleet, AllDemandAtOne) {
     for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
         const auto options = fleet_of(4, seed);
