--- a/tests/budget/fleet.cpp
+++ b/tests/budget/fleet.cpp
@@ -462,6 +462,17 @@
     std::cout << seen.grants.size() << " grants, " << seen.told.size() << " requests for them, "
               << seen.attempts.size() << " attempts; way allowed " << way() / 1000 << " ms\n";
     EXPECT_FALSE(seen.grants.empty());
+    if (const char* const file = std::getenv("FLAXDOOR_BUDGET_DUMP")) {  // to look at by hand
+        std::ofstream out(file);
+        for (const auto& each : seen.attempts)
+            out << each.begun << " attempt " << each.balancer << ' ' << each.of_class << '\n';
+        for (const auto& each : seen.grants) {
+            out << each.at << " grant " << each.holder << ' ' << each.budget << ' ' << each.fence.seq << ' '
+                << each.share.rate << ' ' << each.share.size << ' ' << each.until << '\n';
+        }
+        for (const auto& each : seen.told)
+            out << each.at << " told " << each.holder << ' ' << each.taken.seq << '\n';
+    }
     for (std::size_t i = 0; i < options_.limits.size(); ++i) {
         for (const auto& each : judge::findings(terms, budget_of(i), seen)) ADD_FAILURE() << each.text;
     }
--- a/tests/budget/fleet_test.cpp
+++ b/tests/budget/fleet_test.cpp
@@ -131,6 +131,7 @@
             const Us at = boot_now();
             fleet.demand(1, wanted);
             took(std::string("after a cut, ") + name, options, fleet.until_full(calls, at));
+            fleet.run_terms(1);  // past its lease's end
             EXPECT_GT(fleet.served_by(0, 2), 0) << "it has its reserve";
             fleet.relay(0).cut(Cut::none);
             const Us healed = boot_now();
@@ -157,9 +158,9 @@
         const auto held = fleet.relay(0).counts().held;
         fleet.until([&] { return fleet.relay(0).counts().held > held; });
         fleet.relay(0).cut(Cut::requests);
-        const Us at = boot_now();
         fleet.demand(1, wanted);
-        (void)fleet.until_full(calls, at);
+        fleet.run_terms(2);  // past the lease's end, where both would use it
+        (void)fleet.until_full(calls, boot_now());
         fleet.expect_holds();
     }
 }
@@ -230,6 +231,7 @@
             fleet.demand(2, wanted);
             took(std::string("after the coordinator's return ") + each.name, options,
                  fleet.until_full(calls, back));
+            fleet.run_terms(1);  // past every lease's end
             fleet.relay(0).cut(Cut::none);
             fleet.run_terms(1);
             fleet.expect_holds();
@@ -240,8 +242,11 @@
 // What it has granted is known to its next start, also when it is killed before the reply can have been read.
 TEST(BudgetFleet, TheCoordinatorKilledRightBehindAGrant) {
     for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
-        Fleet fleet(fleet_of(2, seed, 12));
+        const auto options = fleet_of(2, seed, 12);
+        Fleet fleet(options);
         fleet.start_coordinator();
+        // Until it knows all, places too; only then does its store tell its next start enough.
+        fleet.run_for(options.term + options.longest + milliseconds(200));
         fleet.start({0});
         fleet.demand(0, wanted);
         fleet.until([&] { return fleet.granted(); });
