Budgets: who takes none of three grants in a row holds nothing back

Change: after three requests in a row that tell of no grant since the last, it gets an empty one, and counts in no division, until it has taken that.

--- a/src/budget/authority.cpp
+++ b/src/budget/authority.cpp
@@ -12,7 +12,8 @@
 constexpr std::int64_t kept_part =
     32;  // a share that is too large by no more than a so-manieth is left as it is
 constexpr std::int64_t again_a_term = 20;  // so often a term asks who is to get more than there is yet
-constexpr std::int64_t clock_terms = 8;    // a holder's clock is compared over so many terms
+constexpr int untaken_most = 3;  // grants in a row that did not arrive, after which no further one is made
+constexpr std::int64_t clock_terms = 8;  // a holder's clock is compared over so many terms
 
 bool nothing(Amount amount) { return amount == Amount{}; }
 
@@ -136,6 +137,10 @@
     return !party.leaving && now - party.heard < at_authority(terms_.term, terms_.drift);
 }
 
+// Guards against a share that lies unused with a holder whose requests arrive and whose replies do not: it gets an
+// empty grant, and a share again once it has taken that one.
+bool Authority::takes_grants(const Party& party) { return party.untaken < untaken_most; }
+
 Amount Authority::counted(const Party& party, std::size_t budget, Time now) const {
     const bool places = budgets_[budget].counts == Counts::concurrency;
     const Micros held_on = places ? at_authority(terms_.longest, terms_.drift) : Micros{0};
@@ -274,6 +279,8 @@
     party.number = request.number;
     party.heard = now;
     party.leaving = false;
+    const bool behind = !party.given.empty() && request.taken < party.given.back().fence;
+    party.untaken = behind ? party.untaken + 1 : 0;
     std::vector<Amount> foreign(budgets_.size());
     std::fill(party.wants.begin(), party.wants.end(), Amount{});
     for (const Need& need : request.needs) {
@@ -331,11 +338,12 @@
 
 // What a party would have if all that was given to others could be taken back at once.
 Amount Authority::target(std::size_t budget, const Party& party, Time now) {
+    if (!takes_grants(party)) return {};
     std::vector<Claim> claims;
     std::size_t own = 0;
     Amount reserves = reserved(budget, now);
     for (const auto& [key, its] : parties_) {
-        if (!heard_lately(its, now) || current_[key.first] != key.second) continue;
+        if (!heard_lately(its, now) || !takes_grants(its) || current_[key.first] != key.second) continue;
         if (&its == &party) own = claims.size();
         Claim claim;
         claim.wants = positive(its.wants[budget] - its.reserves[budget]);
--- a/src/budget/authority.h
+++ b/src/budget/authority.h
@@ -105,6 +105,7 @@
         std::uint64_t number = 0;
         Time heard{};
         bool leaving = false;
+        int untaken = 0;  // requests in a row that told of no grant since the last one
         std::vector<Given> given;
         std::vector<Amount> wants, reserves;
         std::vector<std::int64_t> in_use;
@@ -119,6 +120,7 @@
     Amount counted(const Party& party, std::size_t budget, Time now) const;
     Amount reserved(std::size_t budget, Time now) const;
     bool heard_lately(const Party& party, Time now) const;
+    static bool takes_grants(const Party& party);
     std::optional<std::string> clock_fault(Party& party, Time its, Time now) const;
     std::optional<std::string> at_odds(const LeaseRequest& request) const;
     void note(Party& party, const LeaseRequest& request, Time now);
--- a/tests/budget/authority_test.cpp
+++ b/tests/budget/authority_test.cpp
@@ -96,6 +96,23 @@
     EXPECT_EQ(counted(), (Amount{10000, 10}));
 }
 
+TEST_F(AuthorityTest, WhoseRepliesAreLostHoldsNothingBack) {
+    begin(terms_of({rate({10000, 10})}));
+    ask(one_, {10000, 10});
+    // One way is cut: it asks on, and takes nothing.
+    for (int i = 0; i < 9; ++i, now_ += 1s) {
+        ask(one_, {10000, 10}, 0, true);
+        ask(two_, {10000, 10});
+    }
+    EXPECT_EQ(share(ask(two_, {10000, 10})), (Amount{10000, 10}));
+    // Healed: the empty grant arrives, and with the next request it is one of two again.
+    ask(one_, {10000, 10});
+    EXPECT_EQ(share(ask(one_, {10000, 10})), Amount{}) << "the other one has it all";
+    ask(two_, {10000, 10});
+    ask(two_, {10000, 10});
+    EXPECT_EQ(share(ask(one_, {10000, 10})), (Amount{5000, 5}));
+}
+
 TEST_F(AuthorityTest, ALeaseThatIsNotRenewedCountsUntilItsEnd) {
     begin(terms_of({rate({10000, 10})}));
     ask(one_, {10000, 10});
