--- a/src/settings/product.cpp
+++ b/src/settings/product.cpp
@@ -18,12 +18,12 @@
     auto checks = postgres::checks();
     for (auto& each : gateway::checks()) checks.push_back(std::move(each));
     for (auto& each : budget::checks()) checks.push_back(std::move(each));
-    return Schema({http::table(), core::table(), drain::table(), log::table(), membership::table(),
-                   store::table(), door::table(), door::tenant_table(), door::class_table(),
-                   budget::table(), budget::limit_table(), budget::coordinator_table(),
-                   postgres::table(), postgres::server_table(), postgres::database_table(),
-                   postgres::user_table(), gateway::table(), gateway::pool_table(), gateway::route_table()},
-                  std::move(checks));
+    return Schema(
+        {http::table(), core::table(), drain::table(), log::table(), membership::table(), store::table(),
+         door::table(), door::tenant_table(), door::class_table(), budget::table(), budget::limit_table(),
+         budget::coordinator_table(), postgres::table(), postgres::server_table(), postgres::database_table(),
+         postgres::user_table(), gateway::table(), gateway::pool_table(), gateway::route_table()},
+        std::move(checks));
 }
 
 }  // namespace flaxdoor::settings
--- a/tests/budget/fleet.h
+++ b/tests/budget/fleet.h
@@ -151,7 +151,6 @@
     std::vector<judge::Attempt> attempts_;
     std::map<std::pair<std::size_t, std::uint64_t>, Running> running_;  // by server and request
     std::vector<judge::Told> told_;
-    bool judged_ = false;
 };
 
 }  // namespace flaxdoor::test
