--- a/tests/budget/fleet_test.cpp
+++ b/tests/budget/fleet_test.cpp
@@ -20,7 +20,6 @@
 }
 
 constexpr std::size_t calls = 0;  // places in the limits below
-constexpr std::size_t places = 1;
 
 // Calls a second, and places of what works for long; each wanted beyond what there is when `wanted` of it come.
 std::vector<Fleet::Limit> limits(std::int64_t burst = 40) {
