Stand-in of PostgreSQL keeps its port while it is dead, as the others do

A killed stand-in closed its listener and its port was free: each cut opens two more, so of some thousand cuts a few got the port of another test's dead server, whose clients then came to the wrong one. Change: a bound socket that never listens holds the port, as in the stand-ins of node, roster and Kubernetes API.

--- a/standins/pg_server.cpp
+++ b/standins/pg_server.cpp
@@ -30,15 +30,22 @@
           executor_(executor),
           journal_(journal),
           options_(std::move(options)),
-          acceptor_(executor) {}
+          acceptor_(executor),
+          holder_(executor) {
+        // A bound socket that never listens keeps the port while the server is dead: else it could become another's.
+        const tcp::endpoint where(asio::ip::address_v4::loopback(), options_.port);
+        holder_.open(where.protocol());
+        holder_.set_option(tcp::socket::reuse_address(true));
+        holder_.bind(where);
+        port_ = holder_.local_endpoint().port();
+    }
 
     void listen() {
-        const tcp::endpoint where(asio::ip::address_v4::loopback(), port_ ? port_ : options_.port);
+        const tcp::endpoint where(asio::ip::address_v4::loopback(), port_);
         acceptor_.open(where.protocol());
         acceptor_.set_option(tcp::acceptor::reuse_address(true));
         acceptor_.bind(where);
         acceptor_.listen();
-        port_ = acceptor_.local_endpoint().port();
         dead_ = false;
         accept();
     }
@@ -380,6 +387,7 @@
     Journal& journal_;
     ServerOptions options_;
     tcp::acceptor acceptor_;
+    tcp::socket holder_;
 };
 
 Server::Server(asio::any_io_executor executor, Journal& journal, ServerOptions options)
