Coordinator: records of leases outlast the process without a sync of the disk

Change: only what counts over a boot (epoch, from when all is known, longest term) is synced with its commit. A record's times are of this boot's clock, so after a power cut the start forgets records and waits out the longest term as before; a disk that alone forgets has fewer commits than the witness tells of, and the start waits too.

--- a/src/coordinator/journal.cpp
+++ b/src/coordinator/journal.cpp
@@ -260,7 +260,7 @@
     if (!opened.start.current) head.known_from = Time(time_most);
     made->head_ = head;
     store::Batch batch;
-    if (auto result = made->put(head, batch); !result) return failed(std::move(result));
+    if (auto result = made->put(head, batch, true); !result) return failed(std::move(result));
     opened.journal = std::move(made);
     return opened;
 }
@@ -296,7 +296,7 @@
     head.epoch = standing.epoch;
     head.known_from = standing.known_from;
     head.longest_term = standing.longest_term;
-    Result result = put(std::move(head), batch);
+    Result result = put(std::move(head), batch, differs(standing));
     if (result) {
         for (const std::string& key : erased) to_erase_.erase(key);
     }
@@ -304,11 +304,11 @@
 }
 
 // The head goes with every commit, so that it counts them.
-Result Journal::put(Head head, store::Batch& batch) {
+Result Journal::put(Head head, store::Batch& batch, bool durable) {
     ++head.commits;
     batch.put(space_, head_key, encode(head));
     const store::Batch* const all[] = {&batch};
-    if (auto result = engine_->write(all, true).front().result; !result) return result;
+    if (auto result = engine_->write(all, durable).front().result; !result) return result;
     head_ = std::move(head);
     return show();
 }
--- a/src/coordinator/journal.h
+++ b/src/coordinator/journal.h
@@ -7,8 +7,11 @@
 // machine's boot. A store that has fewer commits than the witness tells of is an older copy. Where a witness can't be
 // written it is removed; where it can't be removed either, the commit has failed: an old one would vouch for an old copy.
 //
-// Durability: commit() has returned ok: its changes last. Otherwise nothing may go out that depends on them.
-// Waits:      every call waits for the disk. Threading: one thread.
+// Durability: commit() has returned ok: its changes outlast this process. Otherwise nothing may go out that depends on them.
+//             Records are not synced: after a power cut they are times of another boot's clock, and the start waits as
+//             with none; where only the disk forgets (one at another machine), the store has fewer commits than the
+//             witness tells of. What counts over a boot (Standing) is synced with its commit.
+// Waits:      open(), and a commit with another standing, wait for the disk. Threading: one thread.
 // Ownership:  its own files and witness.
 // Errors:     store/status.h. retry: nothing is known to have changed, again later (the next commit opens the store anew
 //             where that is needed). Nothing is thrown but std::bad_alloc.
@@ -103,7 +106,7 @@
     store::Result open_again();
     store::Result read_records(std::vector<budget::Record>& records);
     store::Result forget_records();
-    store::Result put(Head head, store::Batch& batch);
+    store::Result put(Head head, store::Batch& batch, bool durable);
     store::Result show();
     std::string not_current(const Head& head) const;
 
--- a/tests/coordinator/journal_test.cpp
+++ b/tests/coordinator/journal_test.cpp
@@ -146,9 +146,10 @@
         // Between two operations: ahead of, between and behind the steps that were taken there.
         for (;;) {
             ASSERT_NO_FATAL_FAILURE(check(run, done, steps, disk.visible(), Parts::boot_id));  // killed
-            ASSERT_NO_FATAL_FAILURE(check(run, done, steps,
-                                          disk.cut({.kept = 0, .names_kept = 0, .stale = {}}),
-                                          "another"));  // no power
+            const Image kept = disk.cut({.kept = 0, .names_kept = 0, .stale = {}});
+            ASSERT_NO_FATAL_FAILURE(check(run, done, steps, kept, "another"));  // no power
+            // A disk of another machine, which alone lost it.
+            ASSERT_NO_FATAL_FAILURE(check(run, done, steps, kept, Parts::boot_id));
             Trail fresh;
             current += open(disk.visible(), steps ? run.witness : "", Parts::start + Micros(60'000'000),
                             Parts::boot_id, fresh)
