The fleet's thirteen cases run in the suite: their label had been taken apart

Cause: gtest_discover_tests hands a list on as words, so of LABELS "budget;budget_fleet" TIMEOUT 300 RESOURCE_LOCK ... only the first label stayed, and the suite, which picks by budget_fleet, ran none of them (0 lines of BudgetFleet in a whole run; seen in the generated file). Change: one label each that holds both words; architecture_test.sh refuses such a list, and is seen to.

--- a/tests/architecture_test.sh
+++ b/tests/architecture_test.sh
@@ -90,9 +90,16 @@
     src/ingress/router.* src/ingress/explain.* src/log/events.h src/log/limiter.* src/log/queue.* src/log/format.*; then
     fail "a protocol machine knows sockets or time"
 fi
+# gtest_discover_tests takes a list of labels apart: the second one and what follows become other properties, and what the
+# suite picks by that label does not run.
+lists() { grep -rnE 'gtest_discover_tests\(.*"[^"]*;' "$1" --include=CMakeLists.txt --include=*.cmake; }
+if lists tests; then fail "tests that are discovered have a list of labels"; fi
 
 # The check can fail.
 scratch=$(mktemp -d) && trap 'rm -rf "$scratch"' EXIT
+echo 'gtest_discover_tests(x PROPERTIES LABELS "a;b" TIMEOUT 1)' >"$scratch/CMakeLists.txt"
+lists "$scratch" >/dev/null || fail "a list of labels passed"
+rm "$scratch/CMakeLists.txt"
 mkdir -p "$scratch/core" "$scratch/elsewhere"
 echo '#include "core/core.h"' >"$scratch/core/x.cpp"
 judge "$scratch" allowed >/dev/null && fail "an unknown folder passed"
--- a/tests/budget/fleet.cmake
+++ b/tests/budget/fleet.cmake
@@ -15,8 +15,9 @@
 target_compile_definitions(budget_fleet_test PRIVATE BUDGET_COMMAND="$<TARGET_FILE:flaxdoor_cli>"
   BUDGET_BALANCER="$<TARGET_FILE:flaxdoor_balancer>")
 add_dependencies(budget_fleet_test flaxdoor_cli flaxdoor_balancer)
-# One at a time: each runs up to 14 processes.
+# One at a time: each runs up to 14 processes. One label: gtest_discover_tests takes a list apart into properties. `ctest -L
+# budget` finds it too, since it looks for a part of the label.
 # What it judges goes by real time between processes: as they are shipped, not as the sanitizers slow them.
 if(NOT FLAXDOOR_SANITIZE AND NOT FLAXDOOR_TSAN)
-  gtest_discover_tests(budget_fleet_test PROPERTIES LABELS "budget;budget_fleet" TIMEOUT 300 RESOURCE_LOCK budget_fleet PROCESSORS 4)
+  gtest_discover_tests(budget_fleet_test PROPERTIES LABELS budget_fleet TIMEOUT 300 RESOURCE_LOCK budget_fleet PROCESSORS 4)
 endif()
