--- a/tests/coordinator/journal_test.cpp
+++ b/tests/coordinator/journal_test.cpp
@@ -233,6 +233,58 @@
     }
 }
 
+// By a mistake in their files two coordinators have one witness: it vouches for whoever wrote it last, and for that one's
+// latest store alone.
+TEST(CoordinatorJournal, TwoWithOneWitness) {
+    struct Shared final : Witness {
+        explicit Shared(std::string& its) : text_(its) {}
+        int read(std::string& text) override {
+            text = text_;
+            return text.empty() ? ENOENT : 0;
+        }
+        int write(const std::string& text) override {
+            text_ = text;
+            return 0;
+        }
+        int remove() override { return write({}); }
+        std::string& text_;
+    };
+    for (const bool copied : {false, true}) {  // stores of their own, or one a copy of the other's
+        for (const std::string order : {"ab", "ba", "aab", "bba", "abab"}) {
+            SCOPED_TRACE(order + (copied ? ", copied" : ""));
+            std::string witness;
+            store::test::SimFiles files[2];
+            Parts parts[2];
+            std::unique_ptr<Service> services[2];
+            const auto begin = [&](std::size_t i) {
+                parts[i].chance = 1000 * (i + 1);
+                parts[i].files = std::make_unique<Borrowed>(files[i]);
+                parts[i].witness = std::make_unique<Shared>(witness);
+                services[i] = parts[i].service();
+                ASSERT_TRUE(services[i]);
+                parts[i].clock.at += Micros(2'500'000);
+            };
+            ASSERT_NO_FATAL_FAILURE(begin(0));
+            ASSERT_TRUE(parts[0].ask(*services[0], parts[0].request("n1", 1, 1)));
+            if (copied) files[1] = store::test::SimFiles(files[0].disk().visible());
+            ASSERT_NO_FATAL_FAILURE(begin(1));
+            std::uint64_t number = 2;
+            for (const char who : order) {
+                const auto i = static_cast<std::size_t>(who - 'a');
+                ASSERT_TRUE(parts[i].ask(*services[i], parts[i].request("n1", number++, 1)));
+            }
+            const auto last = static_cast<std::size_t>(order.back() - 'a');
+            for (const std::size_t i : {0U, 1U}) {
+                const Image kept = files[i].disk().visible();
+                Trail fresh;
+                const auto opened =
+                    open(kept, witness, Parts::start + Micros(60'000'000), Parts::boot_id, fresh);
+                EXPECT_EQ(opened.start.current, i == last) << i << ": " << opened.why;
+            }
+        }
+    }
+}
+
 // It knows nothing of what the later one grants: nor does its next start, though nothing is older or missing.
 TEST(CoordinatorJournal, OneThatSteppedDown) {
     for (const bool stepped_down : {false, true}) {
--- a/tests/coordinator/service_parts.h
+++ b/tests/coordinator/service_parts.h
@@ -55,7 +55,7 @@
     std::unique_ptr<Service> service(GrantsLog* grants = nullptr) {
         Journal::World world;
         world.files = files ? std::move(files) : std::make_unique<store::test::SimFiles>();
-        world.chance = store::test::counting(1);
+        world.chance = store::test::counting(chance);
         world.witness = std::move(witness);
         world.boot = boot_id;
         world.now = clock.at;
@@ -92,6 +92,7 @@
         return std::nullopt;
     }
 
+    std::uint64_t chance = 1;  // where its random numbers begin
     MovedClock clock;
     flaxdoor::test::Lines log;
     std::unique_ptr<store::Files> files;
--- /dev/null
+++ b/tests/gateway/budget_test.cpp
@@ -0,0 +1,39 @@
+// A request for which a budget of the fleet has no permit, through a listener with routes.
+#include "quota.h"
+#include "rig.h"
+
+namespace flaxdoor::gateway::test {
+namespace {
+
+using flaxdoor::test::Quota;
+
+struct GatewayBudget : testing::Test {
+    GatewayBudget() : rig(&quota), backend(rig.add_backend("a")) {
+        rig.api.play(class_and_gateway() + service("a") + slice("a", {{backend.port(), "pod-a"}}));
+        rig.api.play(http_route("r", "    - backendRefs: [{name: a, port: 80}]\n"));
+        rig.begin();
+        EXPECT_TRUE(rig.until([&] { return rig.runtime->address(80) && rig.ask(get("h", "/")) == "200 a"; }));
+    }
+    Quota quota;
+    Rig rig;
+    Backend& backend;
+};
+
+TEST_F(GatewayBudget, ARequestWithoutAPermitNeverRanAndIsToldWhenToComeBack) {
+    const std::size_t before = backend.requests.size();
+    quota.calls = 0;
+    const auto client = rig.send(get("h", "/x") + get("h", "/y"));
+    ASSERT_TRUE(rig.until([&] { return client->answers.size() == 2 || client->ended; }));
+    for (const std::size_t i : {0U, 1U}) {
+        EXPECT_EQ(client->status(i), "503");
+        EXPECT_EQ(header(client->answers[i], "Retry-After"), "7");
+    }
+    EXPECT_EQ(backend.requests.size(), before);
+    quota.calls = Quota::no_limit;
+    client->send(get("h", "/z"));
+    ASSERT_TRUE(rig.until([&] { return client->answers.size() == 3 || client->ended; }));
+    EXPECT_EQ(client->status(2), "200") << "the connection goes on";
+}
+
+}  // namespace
+}  // namespace flaxdoor::gateway::test
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -23,6 +23,7 @@
 #include "lines.h"
 #include "loop/alarm.h"
 #include "loop/clock.h"
+#include "quota.h"
 #include "standins/kube_api.h"
 #include "standins/peers.h"
 #include "standins/run_until.h"
@@ -51,7 +52,11 @@
 
 class Rig {
 public:
-    Rig() : alarm(io.get_executor(), clock), core(clock, alarm, log), api(io, {}) {
+    // `admission`: borrowed; null: there is none.
+    explicit Rig(core::Admission* admission = nullptr)
+        : alarm(io.get_executor(), clock),
+          core(clock, alarm, log, flaxdoor::test::options_with(admission)),
+          api(io, {}) {
         alarm.on_due([this] { core.on_alarm(); });
         options.server.host = "127.0.0.1";
         options.server.tls = false;
--- /dev/null
+++ b/tests/pg/budget_test.cpp
@@ -0,0 +1,70 @@
+// A statement for which a budget of the fleet has no permit: refused at once, never run, and the session goes on.
+#include "quota.h"
+#include "rig.h"
+
+namespace flaxdoor::pg::test {
+namespace {
+
+using flaxdoor::test::Quota;
+
+TEST(PgBudget, AStatementWithoutAPermitNeverRanAndIsToldWhenToComeBack) {
+    Quota quota;
+    Rig rig(&quota);
+    rig.start({"a"});
+    const auto client = Client::logged_in(rig);
+    quota.calls = 0;
+    for (const std::string& bytes : {simple(insert(1)), unit(insert(1))}) {
+        const Answer refused = client->ask(bytes);
+        EXPECT_EQ(refused.code, "53000") << refused.text;
+        EXPECT_NE(refused.text.find("over budget"), std::string::npos) << refused.text;
+        EXPECT_NE(refused.detail.find("Come back in 7"), std::string::npos) << refused.detail;
+        EXPECT_EQ(refused.status, 'I');
+    }
+    EXPECT_EQ(rig.journal.effects[1].executed, 0);
+    quota.calls = Quota::no_limit;
+    EXPECT_EQ(client->ask(simple(insert(1))).errors, 0);
+    EXPECT_EQ(rig.journal.effects[1].committed, 1);
+}
+
+// A transaction is one call, under the permit of its first statement: none is cut off in the middle for want of another.
+TEST(PgBudget, ATransactionThatHasBegunNeedsNoOther) {
+    Quota quota;
+    Rig rig(&quota);
+    rig.start({"a"});
+    const auto client = Client::logged_in(rig);
+    quota.calls = 1;
+    EXPECT_EQ(client->ask(simple("BEGIN")).status, 'T');
+    EXPECT_EQ(client->ask(simple(insert(1))).errors, 0);
+    EXPECT_EQ(client->ask(unit(insert(2))).errors, 0);
+    EXPECT_EQ(client->ask(simple("COMMIT")).tag, "COMMIT");
+    for (const long i : {1, 2}) EXPECT_EQ(rig.journal.effects[i].committed, 1) << i;
+    EXPECT_EQ(client->ask(simple("BEGIN")).code, "53000") << "the next one needs its own";
+    EXPECT_EQ(client->ask(simple(insert(3))).code, "25P02") << "nothing of it runs outside of it";
+    EXPECT_EQ(rig.journal.effects[3].executed, 0);
+}
+
+// Its server is dead, and there is no permit for another attempt: it has not run, so that is what is told.
+TEST(PgBudget, AFurtherAttemptWithoutAPermit) {
+    Quota quota;
+    Rig rig(&quota);
+    rig.start({"a", "b"});
+    const auto client = Client::logged_in(rig);
+    quota.further = 0;
+    std::size_t served = 0;
+    for (long i = 1; i <= 20 && quota.refused == 0; ++i) {
+        rig.servers[static_cast<std::size_t>(i % 2)]->die(true);
+        const Answer answer = client->ask(simple(insert(i)));
+        served += answer.errors == 0;
+        EXPECT_EQ(rig.journal.effects[i].committed, answer.errors == 0 ? 1 : 0) << i << " " << answer.code;
+        if (answer.errors > 0) {
+            EXPECT_EQ(answer.code, "53000") << answer.text;
+        }
+        rig.servers[static_cast<std::size_t>(i % 2)]->restart();
+    }
+    EXPECT_GT(quota.refused, 0) << served << " served";
+    quota.further = Quota::no_limit;
+    EXPECT_EQ(client->ask(simple(insert(99))).errors, 0);
+}
+
+}  // namespace
+}  // namespace flaxdoor::pg::test
--- a/tests/pg/rig.h
+++ b/tests/pg/rig.h
@@ -17,6 +17,7 @@
 #include "loop/alarm.h"
 #include "loop/clock.h"
 #include "pg/service.h"
+#include "quota.h"
 #include "standins/pg_client.h"
 #include "standins/pg_server.h"
 #include "standins/pg_text.h"
@@ -38,7 +39,9 @@
 inline UpstreamId id_of(const std::string& name) { return std::hash<std::string>()(name); }
 
 struct Rig {
-    Rig() : alarm(io.get_executor(), clock), core(clock, alarm, log) {
+    // `admission`: borrowed; null: there is none.
+    explicit Rig(core::Admission* admission = nullptr)
+        : alarm(io.get_executor(), clock), core(clock, alarm, log, flaxdoor::test::options_with(admission)) {
         alarm.on_due([this] { core.on_alarm(); });
     }
     ~Rig() {
