--- a/src/budget/division.cpp
+++ b/src/budget/division.cpp
@@ -1,20 +1,27 @@
 #include "budget/division.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace flaxdoor::budget {
 
 namespace {
 
-// Of two numbers up to 1e13 and 1e6: their product fits.
+// Of two numbers up to 1e13 and 1e6: their product most often fits into 64 bits, and always into 128.
 std::int64_t part(std::int64_t whole, std::int64_t weight, std::int64_t weights) {
+    std::int64_t product = 0;
+    if (!__builtin_mul_overflow(whole, weight, &product)) return product / weights;
     return static_cast<std::int64_t>(static_cast<__int128>(whole) * weight / weights);
 }
 
-std::vector<std::size_t> in_order(std::size_t count) {
-    std::vector<std::size_t> order(count);
-    std::iota(order.begin(), order.end(), std::size_t{0});
+// Those who want a permit, who have been without for longest first; in the order of the claims where all can have one.
+std::vector<std::size_t> wanting(const std::vector<Claim>& claims, std::int64_t whole) {
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < claims.size(); ++i) {
+        if (claims[i].wants.size > 0) order.push_back(i);
+    }
+    if (static_cast<std::int64_t>(order.size()) <= whole) return order;
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t a, std::size_t b) { return claims[a].without > claims[b].without; });
     return order;
 }
 
@@ -22,17 +29,10 @@
 // without for longest.
 std::vector<std::int64_t> sizes_of(std::int64_t whole, const std::vector<Claim>& claims) {
     std::vector<std::int64_t> sizes(claims.size(), 0);
-    std::vector<std::size_t> order = in_order(claims.size());
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-        const bool wants_a = claims[a].wants.size > 0, wants_b = claims[b].wants.size > 0;
-        if (wants_a != wants_b) return wants_a;
-        return claims[a].without > claims[b].without;
-    });
     std::vector<std::int64_t> more(claims.size(), 0), weights(claims.size(), 1);
     std::int64_t left = whole;
-    for (const std::size_t i : order) {
+    for (const std::size_t i : wanting(claims, whole)) {
         if (left == 0) return sizes;
-        if (claims[i].wants.size <= 0) break;
         sizes[i] = 1;
         --left;
     }
@@ -49,25 +49,43 @@
 
 std::vector<std::int64_t> max_min(std::int64_t whole, const std::vector<std::int64_t>& wants,
                                   const std::vector<std::int64_t>& weights) {
+    struct One {
+        std::int64_t wants, weight;
+        std::size_t at;
+    };
     std::vector<std::int64_t> parts(wants.size(), 0);
     if (wants.empty()) return parts;
-    std::vector<std::size_t> order = in_order(wants.size());
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-        return static_cast<__int128>(wants[a]) * weights[b] < static_cast<__int128>(wants[b]) * weights[a];
-    });
+    std::vector<One> order;
+    order.reserve(wants.size());
+    std::int64_t weight = 0;
+    bool alike = true;
+    for (std::size_t i = 0; i < wants.size(); ++i) {
+        order.push_back({wants[i], weights[i], i});
+        weight += weights[i];
+        alike = alike && weights[i] == weights[0];
+    }
+    const std::int64_t weights_in_all = weight;
+    if (alike) {
+        std::sort(order.begin(), order.end(), [](const One& a, const One& b) {
+            return a.wants != b.wants ? a.wants < b.wants : a.at < b.at;
+        });
+    } else {
+        std::stable_sort(order.begin(), order.end(), [](const One& a, const One& b) {
+            return static_cast<__int128>(a.wants) * b.weight < static_cast<__int128>(b.wants) * a.weight;
+        });
+    }
     std::int64_t left = whole;
-    std::int64_t weight = std::accumulate(weights.begin(), weights.end(), std::int64_t{0});
-    for (const std::size_t i : order) {
-        parts[i] = std::min(wants[i], part(left, weights[i], weight));
-        left -= parts[i];
-        weight -= weights[i];
+    for (const One& one : order) {
+        parts[one.at] = std::min(one.wants, part(left, one.weight, weight));
+        left -= parts[one.at];
+        weight -= one.weight;
     }
-    weight = std::accumulate(weights.begin(), weights.end(), std::int64_t{0});
-    for (const std::size_t i : order) {
-        const std::int64_t more = part(left, weights[i], weight);
-        parts[i] += more;
+    weight = weights_in_all;
+    for (const One& one : order) {
+        const std::int64_t more = part(left, one.weight, weight);
+        parts[one.at] += more;
         left -= more;
-        weight -= weights[i];
+        weight -= one.weight;
     }
     return parts;
 }
