Budgets: of a rate with a burst of one, wanting more is news too

Cause: seen on reading again: a holder took its told size for the whole one, and of a burst of one any want is the whole, so it asked for more only with the requests that are due (src/budget/holder.cpp, is_news). Change: of a rate the rates are compared, of places the places.

--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -166,9 +166,10 @@
 bool Holder::is_news(std::size_t budget, Time now) {
     const Amount told = told_[budget], whole = terms_.budgets[budget].whole;
     if (told.size == 0) return true;
-    if (told.size >= whole.size) return false;  // there is no more
+    const bool places = terms_.budgets[budget].counts == Counts::concurrency;
+    if (places ? told.size >= whole.size : told.rate >= whole.rate) return false;  // there is no more
     if (!told.within(allowances_[budget].in_force(now))) return false;
-    if (terms_.budgets[budget].counts == Counts::concurrency) return true;
+    if (places) return true;
     return burst(budget, allowances_[budget].asked().wanted, seconds_since(asked_at_, now));
 }
 
--- a/tests/budget/holder_test.cpp
+++ b/tests/budget/holder_test.cpp
@@ -140,6 +140,7 @@
         Amount share;  // granted then
         int refused;   // asked for after that
         bool sooner;
+        std::int64_t burst = 10;  // of the whole
     };
     const Row rows[] = {
         {"nothing was wanted", Counts::requests, 0, {1000, 1}, 1, true},
@@ -147,6 +148,7 @@
         {"as much, and chance empties its bucket", Counts::requests, 5, {6000, 6}, 2, false},
         {"as much, and far more is wanted than before", Counts::requests, 2, {6000, 6}, 12, true},
         {"it has told that it wants all", Counts::requests, 50, {10000, 10}, 50, false},
+        {"the same where the whole saves up one", Counts::requests, 2, {6000, 1}, 12, true, 1},
         {"no places were wanted", Counts::concurrency, 0, {0, 1}, 2, true},
         {"fewer places than it told", Counts::concurrency, 3, {0, 2}, 9, false},
         {"as many, and one more is wanted", Counts::concurrency, 2, {0, 2}, 3, true},
@@ -156,7 +158,7 @@
         Terms terms = terms_of();
         const bool places = row.counts == Counts::concurrency;
         terms.budgets[0].counts = row.counts;
-        if (places) terms.budgets[0].whole = {0, 10};
+        terms.budgets[0].whole = {places ? 0 : 10000, row.burst};
         Holder holder({terms, "n1", "a", 1}, 0s);
         (void)holder.request(9s);
         for (int i = 0; i < row.wanted; ++i) (void)holder.at(0).set_aside(9500ms);
