One piece each for endpoints of the settings, faults in the log and columns of words

Need: read again as a whole, the change had written three things that the project had: an address and a port to an endpoint (three places, one by another parser), an operator's faults as lines of the log (balancer and coordinator), a table with columns (settings and budget show). Measured: flaxdoor settings and flaxdoor budget show print the same bytes as before, coordinator.program and architecture pass in Release.

--- a/src/apps/balancer.cpp
+++ b/src/apps/balancer.cpp
@@ -83,8 +83,7 @@
             }
         }
         if (const auto* faults = std::get_if<flaxdoor::settings::Faults>(&reading)) {
-            std::istringstream lines(faults->text(path_));
-            for (std::string line; std::getline(lines, line);) log_.tell(events::operators_fault, line);
+            flaxdoor::apps::tell_faults(log_, path_, *faults);
             return false;
         }
         text_ = text_of(path_);
--- a/src/apps/coordinator_commands.cpp
+++ b/src/apps/coordinator_commands.cpp
@@ -10,11 +10,9 @@
 #include <cstdio>
 #include <cstring>
 #include <fstream>
-#include <iomanip>
 #include <iostream>
 #include <memory>
 #include <random>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -29,6 +27,7 @@
 #include "loop/boot_clock.h"
 #include "loop/clock.h"
 #include "loop/sockets.h"
+#include "settings/page.h"
 #include "settings/product.h"
 #include "settings/reader.h"
 #include "settings/reload.h"
@@ -70,11 +69,6 @@
     return reading;
 }
 
-void tell(log::Logger& log, const std::string& file, const settings::Faults& faults) {
-    std::istringstream lines(faults.text(file));
-    for (std::string line; std::getline(lines, line);) log.tell(events::operators_fault, line);
-}
-
 void use_log(log::Logger& log, const settings::Values& values) {
     auto options = log::options_from(values);
     if (auto* const its = std::get_if<log::Options>(&options)) log.set(std::move(*its));
@@ -90,7 +84,7 @@
 }
 
 loop::tcp::endpoint endpoint_of(const settings::Address& address) {
-    return loop::parse_endpoint(address.host + ":" + std::to_string(address.port));
+    return loop::endpoint_of(address.host, address.port);
 }
 
 Journal::Opened open_journal(const settings::Values& values, Time now) {
@@ -168,7 +162,7 @@
     void reload() {
         auto reading = read(file_);
         if (const auto* const faults = std::get_if<settings::Faults>(&reading)) {
-            tell(log_, file_, *faults);
+            tell_faults(log_, file_, *faults);
             return log_.tell(events::operators_kept);
         }
         auto& wanted = std::get<settings::Values>(reading);
@@ -250,7 +244,7 @@
         const Retry retry(loop, log);
         auto reading = read(file);
         if (const auto* const faults = std::get_if<settings::Faults>(&reading)) {
-            tell(log, file, *faults);
+            tell_faults(log, file, *faults);
             return faulty;
         }
         use_log(log, std::get<settings::Values>(reading));
@@ -332,31 +326,11 @@
     return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
 }
 
-// Rows of words under their heads, each column as wide as it must be.
-class Columns {
-public:
-    explicit Columns(std::vector<std::string> heads) { rows_.push_back(std::move(heads)); }
-    void add(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
-    void print(std::ostream& out) const {
-        if (rows_.size() == 1) return;
-        std::vector<std::size_t> widths(rows_.front().size());
-        for (const auto& row : rows_) {
-            for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
-        }
-        for (const auto& row : rows_) {
-            std::string line;
-            for (std::size_t i = 0; i < row.size(); ++i) {
-                line += row[i] + std::string(widths[i] - row[i].size() + 2, ' ');
-            }
-            line.erase(line.find_last_not_of(' ') + 1);
-            out << line << "\n";
-        }
-        out << "\n";
-    }
-
-private:
-    std::vector<std::vector<std::string>> rows_;
-};
+// A table with heads and rows; nothing where there are heads alone.
+using Rows = std::vector<std::vector<std::string>>;
+void print(const Rows& rows) {
+    if (rows.size() > 1) std::cout << settings::columns(rows) << "\n";
+}
 
 std::string state_of(const coordinator::View& view) {
     if (view.stepped_down) return "stepped down: there is another of a later epoch";
@@ -369,34 +343,34 @@
 
 void print(const coordinator::View& view, const std::string& where) {
     std::cout << "coordinator " << where << ", epoch " << view.epoch << ": " << state_of(view) << "\n\n";
-    Columns sums({"budget", "counts", "whole", "reserves", "leased", "free"});
+    Rows sums{{"budget", "counts", "whole", "reserves", "leased", "free"}};
     std::map<std::string, budget::Counts> counts;
     for (const auto& each : view.sums) {
         counts[each.budget] = each.counts;
         const budget::Amount free = most(each.whole - each.reserved - each.counted, {});
         const auto text = [&](budget::Amount amount) { return text_of(amount, each.counts); };
-        sums.add({each.budget, std::string(coordinator::text_of(each.counts)), text(each.whole),
-                  text(each.reserved), text(each.counted), text(free)});
+        sums.push_back({each.budget, std::string(coordinator::text_of(each.counts)), text(each.whole),
+                        text(each.reserved), text(each.counted), text(free)});
     }
-    sums.print(std::cout);
-    Columns held({"budget", "holder", "process", "share", "counted", "wants", "in use", "for", "held back"});
+    print(sums);
+    Rows held{{"budget", "holder", "process", "share", "counted", "wants", "in use", "for", "held back"}};
     for (const auto& each : view.held) {
         const auto text = [&](budget::Amount amount) { return text_of(amount, counts[each.budget]); };
-        held.add({each.budget, each.holder, each.instance.substr(0, 8), text(each.share), text(each.counted),
-                  text(each.wants), std::to_string(each.in_use),
-                  each.left > Micros{0}   ? text_of(each.left)
-                  : each.left < Micros{0} ? "ended"
-                                          : "-",
-                  each.why.empty() ? "-" : each.why});
+        held.push_back({each.budget, each.holder, each.instance.substr(0, 8), text(each.share),
+                        text(each.counted), text(each.wants), std::to_string(each.in_use),
+                        each.left > Micros{0}   ? text_of(each.left)
+                        : each.left < Micros{0} ? "ended"
+                                                : "-",
+                        each.why.empty() ? "-" : each.why});
     }
-    held.print(std::cout);
+    print(held);
     if (view.left_out > 0) std::cout << "and " << view.left_out << " more rows\n\n";
-    Columns refused({"refused", "process", "verdict", "ago", "why"});
+    Rows refused{{"refused", "process", "verdict", "ago", "why"}};
     for (const auto& each : view.refused) {
-        refused.add({each.holder, each.instance.substr(0, 8), std::string(budget::text_of(each.verdict)),
-                     text_of(each.ago), each.why});
+        refused.push_back({each.holder, each.instance.substr(0, 8),
+                           std::string(budget::text_of(each.verdict)), text_of(each.ago), each.why});
     }
-    refused.print(std::cout);
+    print(refused);
 }
 
 int show(const std::string& at, const std::string& file, bool json) {
--- a/src/apps/daemon.h
+++ b/src/apps/daemon.h
@@ -12,8 +12,12 @@
 #include <chrono>
 #include <csignal>
 #include <functional>
+#include <sstream>
+#include <string>
 
+#include "log/events.h"
 #include "log/logger.h"
+#include "settings/reader.h"
 
 namespace flaxdoor::apps {
 
@@ -25,6 +29,12 @@
     }
 }
 
+// Each fault of an operator's file as a line of the log.
+inline void tell_faults(log::Logger& log, const std::string& file, const settings::Faults& faults) {
+    std::istringstream lines(faults.text(file));
+    for (std::string line; std::getline(lines, line);) log.tell(log::events::operators_fault, line);
+}
+
 // SIGHUP brings new files, SIGTERM and SIGINT the end; each as often as it comes. Of many SIGHUPs one after
 // the other the last one counts. What comes before pass_to() is kept for it.
 class Signals {
--- a/src/engine/budgets.cpp
+++ b/src/engine/budgets.cpp
@@ -4,12 +4,12 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/address.hpp>
 #include <stdexcept>
 
 #include "coordinator/terms.h"
 #include "coordinator/wire.h"
 #include "log/events.h"
+#include "loop/sockets.h"
 #include "settings/tables/budget.h"
 
 namespace flaxdoor::engine {
@@ -44,9 +44,9 @@
     return options;
 }
 
-boost::asio::ip::tcp::endpoint coordinator_of(const settings::Values& operators) {
-    const auto address = operators.get(keys::coordinator);
-    return {boost::asio::ip::make_address(address.host), address.port};  // checked with the file
+loop::tcp::endpoint coordinator_of(const settings::Values& operators) {
+    const auto address = operators.get(keys::coordinator);  // checked with the file
+    return loop::endpoint_of(address.host, address.port);
 }
 
 template <class Items>
--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -117,6 +117,10 @@
     return {address, port};
 }
 
+tcp::endpoint endpoint_of(const std::string& host, std::uint16_t port) {
+    return parse_endpoint(host + ":" + std::to_string(port));
+}
+
 std::string text_of(const tcp::endpoint& endpoint) {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
--- a/src/loop/sockets.h
+++ b/src/loop/sockets.h
@@ -53,6 +53,8 @@
 
 // "127.0.0.1:5000". Throws std::invalid_argument when the text is no IPv4 address with a port.
 [[nodiscard]] tcp::endpoint parse_endpoint(const std::string& text);
+// The same of its two parts.
+[[nodiscard]] tcp::endpoint endpoint_of(const std::string& host, std::uint16_t port);
 [[nodiscard]] std::string text_of(const tcp::endpoint& endpoint);
 
 }  // namespace flaxdoor::loop
--- a/src/settings/page.cpp
+++ b/src/settings/page.cpp
@@ -112,19 +112,13 @@
     return out;
 }
 
-std::string listing(const Schema& schema) {
-    std::vector<std::vector<std::string>> lines{{"KEY", "TYPE", "RANGE", "DEFAULT", "TAKES", "MEANING"}};
-    for (const Table& table : schema.tables()) {
-        for (const Setting& setting : table.settings) {
-            lines.push_back({setting.text(), std::string(kind_of(setting.type)), setting.range(),
-                             default_of(setting), std::string(takes_of(setting.takes)), setting.meaning});
-        }
-    }
+std::string columns(const std::vector<std::vector<std::string>>& lines) {
+    std::string out;
+    if (lines.empty()) return out;
     std::vector<std::size_t> widths(lines.front().size());
     for (const auto& line : lines) {
         for (std::size_t i = 0; i < line.size(); ++i) widths[i] = std::max(widths[i], line[i].size());
     }
-    std::string out;
     for (const auto& line : lines) {
         for (std::size_t i = 0; i + 1 < line.size(); ++i) {
             out += line[i] + std::string(widths[i] + 2 - line[i].size(), ' ');
@@ -134,6 +128,17 @@
     return out;
 }
 
+std::string listing(const Schema& schema) {
+    std::vector<std::vector<std::string>> lines{{"KEY", "TYPE", "RANGE", "DEFAULT", "TAKES", "MEANING"}};
+    for (const Table& table : schema.tables()) {
+        for (const Setting& setting : table.settings) {
+            lines.push_back({setting.text(), std::string(kind_of(setting.type)), setting.range(),
+                             default_of(setting), std::string(takes_of(setting.takes)), setting.meaning});
+        }
+    }
+    return columns(lines);
+}
+
 std::string example(const Schema& schema, std::string_view table) {
     std::string out;
     for (const Table& each : schema.tables()) {
--- a/src/settings/page.h
+++ b/src/settings/page.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "settings/schema.h"
 
@@ -11,6 +12,9 @@
 // Markdown, as docs/operators/settings.md holds it.
 std::string page(const Schema& schema);
 
+// Lines of words, each column as wide as it must be.
+std::string columns(const std::vector<std::vector<std::string>>& lines);
+
 // Columns of text, one line a setting.
 std::string listing(const Schema& schema);
 
--- a/src/sides/rows.h
+++ b/src/sides/rows.h
@@ -21,7 +21,7 @@
 inline void set_endpoint(settings::Faults& faults, loop::tcp::endpoint& endpoint,
                          const settings::Address& address, const settings::Row& row, std::string_view key) {
     try {
-        endpoint = loop::parse_endpoint(address.host + ":" + std::to_string(address.port));
+        endpoint = loop::endpoint_of(address.host, address.port);
     } catch (const std::invalid_argument&) {
         add_fault(faults, row, key, "not an IPv4 address: " + address.host,
                   "names are not looked up: give its address");
