Gateway: a further attempt without a permit is tested

Change: one case beside the same with a permit: broken after the request was whole, 200 from the other backend with a permit, 502 and one request in all without.

--- a/tests/gateway/budget_test.cpp
+++ b/tests/gateway/budget_test.cpp
@@ -35,5 +35,29 @@
     EXPECT_EQ(client->status(2), "200") << "the connection goes on";
 }
 
+// Its connection breaks after the request was whole, and a repeat would be harmless: with no permit for it it has failed.
+TEST(GatewayBudgetRepeat, AFurtherAttemptWithoutAPermit) {
+    for (const bool permitted : {true, false}) {
+        Quota quota;
+        Rig rig(&quota);
+        Backend &a = rig.add_backend("a"), &b = rig.add_backend("b");
+        a.hold = b.hold = true;
+        ASSERT_TRUE(rig.serve(
+            class_and_gateway() + service("a") + slice("a", {{a.port(), "pod-a"}, {b.port(), "pod-b"}}) +
+            http_route("r", to_service("a"), ", annotations: {flaxdoor.dev/effect: safe}")));
+        if (!permitted) quota.further = 0;
+        const auto client = rig.send(get("h", "/"));
+        ASSERT_TRUE(rig.until([&] { return a.held() + b.held() == 1; }));
+        Backend& first = a.held() ? a : b;
+        Backend& second = a.held() ? b : a;
+        second.hold = false;
+        first.break_held();
+        ASSERT_TRUE(rig.until([&] { return !client->answers.empty(); }));
+        EXPECT_EQ(client->status(), permitted ? "200" : "502");
+        EXPECT_EQ(first.requests.size() + second.requests.size(), permitted ? 2U : 1U);
+        EXPECT_EQ(quota.refused, permitted ? 0 : 1);
+    }
+}
+
 }  // namespace
 }  // namespace flaxdoor::gateway::test
