--- /dev/null
+++ b/review/lib/postgres.py
@@ -0,0 +1,235 @@
+"""Stand-ins of a PostgreSQL server and of its clients, as far as the cases need them: protocol 3.0, trust, simple queries,
+transactions over one table of numbers, cancels. Written from the manual's chapter "Frontend/Backend Protocol"."""
+import re
+import socket
+import struct
+import threading
+import time
+
+
+def message(kind, body=b""):
+    return kind + struct.pack("!i", len(body) + 4) + body
+
+
+def error(code, text, severity=b"ERROR"):
+    return message(b"E", b"S" + severity + b"\0V" + severity + b"\0C" + code + b"\0M" + text + b"\0\0")
+
+
+class Connection:
+    def __init__(self, sock):
+        self.sock = sock
+        self.data = b""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def take(self, count):
+        while len(self.data) < count:
+            got = self.sock.recv(65536)
+            if not got:
+                raise EOFError
+            self.data += got
+        out, self.data = self.data[:count], self.data[count:]
+        return out
+
+    def read(self):
+        kind = self.take(1)
+        return kind, self.take(struct.unpack("!i", self.take(4))[0] - 4)
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+
+class Server:
+    """A server whose COMMIT takes `commit_takes` seconds, as on a slow disk: once it has begun it can't be cancelled, and
+    goes on when the client's connection breaks. Other statements end at a cancel. What is open when a connection ends is
+    rolled back. `committed` and `open` are what the database holds."""
+
+    def __init__(self, note, name="server", commit_takes=0.0, rows=None):
+        self.note, self.name, self.commit_takes = note, name, commit_takes
+        self.lock = threading.Lock()
+        self.rows = [] if rows is None else rows  # committed, in their order; two servers may show one database
+        self.open = set()  # sessions in a transaction
+        self.most_open = 0
+        self.on_open = None
+        self.sessions = {}
+        self.last = 0
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(Connection(sock),), daemon=True).start()
+
+    def serve(self, connection):
+        session = None
+        try:
+            while True:
+                body = connection.take(struct.unpack("!i", connection.take(4))[0] - 4)
+                code = struct.unpack("!i", body[:4])[0]
+                if code in (80877103, 80877104):  # TLS, GSSAPI: declined
+                    connection.send(b"N")
+                    continue
+                break
+            if code == 80877102:
+                self.cancel(struct.unpack("!ii", body[4:12]))
+                return
+            with self.lock:
+                self.last += 1
+                session = Session(self, connection, self.last)
+                self.sessions[self.last] = session
+            session.run()
+        except (EOFError, OSError):
+            pass
+        finally:
+            if session:
+                session.leave()
+            connection.sock.close()
+
+    def cancel(self, key):
+        session = self.sessions.get(key[0])
+        self.note(self.name, f"cancel request for session {key[0]}")
+        if session and key[1] == session.secret:
+            session.cancelled.set()
+
+    def begin(self, session):
+        with self.lock:
+            self.open.add(session)
+            self.most_open = max(self.most_open, len(self.open))
+            count = len(self.open)
+        self.note(self.name, f"session {session.number}: transaction begun; {count} open")
+
+    def end(self, session):
+        with self.lock:
+            self.open.discard(session)
+
+
+class Session:
+    def __init__(self, server, connection, number):
+        self.server, self.connection, self.number = server, connection, number
+        self.secret = number * 7919
+        self.status = b"I"
+        self.rows = []
+        self.cancelled = threading.Event()
+
+    def run(self):
+        send = self.connection.send
+        parameters = {"server_version": "15.0", "server_encoding": "UTF8", "client_encoding": "UTF8", "DateStyle": "ISO, MDY",
+                      "TimeZone": "UTC", "IntervalStyle": "postgres", "integer_datetimes": "on", "application_name": "",
+                      "standard_conforming_strings": "on", "is_superuser": "off", "in_hot_standby": "off"}
+        out = message(b"R", struct.pack("!i", 0))
+        for name, value in parameters.items():
+            out += message(b"S", name.encode() + b"\0" + value.encode() + b"\0")
+        out += message(b"K", struct.pack("!ii", self.number, self.secret)) + message(b"Z", b"I")
+        send(out)
+        while True:
+            kind, body = self.connection.read()
+            if kind == b"X":
+                return
+            if kind != b"Q":
+                send(error(b"0A000", b"only simple queries here", b"FATAL"))
+                return
+            send(self.query(body[:-1].decode()) + message(b"Z", self.status))
+
+    def query(self, text):
+        self.cancelled.clear()
+        word = text.strip().rstrip(";").strip()
+        upper = word.upper()
+        note = self.server.note
+        if not word:
+            return message(b"I")
+        if self.status == b"E" and upper not in ("ROLLBACK", "COMMIT"):
+            return error(b"25P02", b"current transaction is aborted")
+        if upper == "BEGIN":
+            self.status = b"T"
+            self.server.begin(self)
+            return message(b"C", b"BEGIN\0")
+        if upper == "ROLLBACK" or (upper == "COMMIT" and self.status == b"E"):
+            self.roll_back("ROLLBACK")
+            return message(b"C", b"ROLLBACK\0")
+        if upper == "COMMIT":
+            self.commit()
+            return message(b"C", b"COMMIT\0")
+        inserted = re.fullmatch(r"INSERT INTO t VALUES \((\d+)\)", word, re.I)
+        if inserted:
+            note(self.server.name, f"session {self.number}: runs {word}")
+            self.rows.append(int(inserted.group(1)))
+            if self.status == b"I":
+                self.commit()
+            return message(b"C", b"INSERT 0 1\0")
+        if upper == "DISCARD ALL":
+            return message(b"C", b"DISCARD ALL\0")
+        if upper.startswith("SELECT"):
+            column = message(b"T", struct.pack("!h", 1) + b"x\0" + struct.pack("!ihihih", 0, 0, 25, -1, -1, 0))
+            return column + message(b"D", struct.pack("!hi", 1, 1) + b"1") + message(b"C", b"SELECT 1\0")
+        if self.status == b"T":
+            self.status = b"E"
+        return error(b"42601", b"syntax error")
+
+    def commit(self):
+        rows, self.rows = self.rows, []
+        if rows:
+            self.server.note(self.server.name, f"session {self.number}: commit of {rows} begins")
+            time.sleep(self.server.commit_takes)
+        with self.server.lock:
+            self.server.rows += rows
+        self.server.note(self.server.name, f"session {self.number}: committed {rows}")
+        self.status = b"I"
+        self.server.end(self)
+
+    def roll_back(self, why):
+        if self.status != b"I" or self.rows:
+            self.server.note(self.server.name, f"session {self.number}: rolled back {self.rows} ({why})")
+        self.rows = []
+        self.status = b"I"
+        self.server.end(self)
+
+    def leave(self):
+        self.roll_back("its connection has ended")
+
+
+class Client:
+    """A client of one session."""
+
+    def __init__(self, address, note, name="client", user="coordinator", database="records", timeout=60):
+        host, port = address.rsplit(":", 1)
+        self.note, self.name = note, name
+        self.connection = Connection(socket.create_connection((host, int(port)), timeout=timeout))
+        body = struct.pack("!i", 196608) + b"user\0" + user.encode() + b"\0database\0" + database.encode() + b"\0\0"
+        self.connection.send(struct.pack("!i", len(body) + 4) + body)
+        while True:
+            kind, body = self.connection.read()
+            if kind == b"E":
+                raise ConnectionError(f"login refused: {body!r}")
+            if kind == b"Z":
+                return
+
+    def ask(self, sql):
+        """The answer of one simple query: a tag, or a code with its text. Code "gone": the connection ended without one."""
+        self.note(self.name, "sends " + sql)
+        answer = {"tag": None, "code": None, "text": "", "detail": "", "severity": "", "status": None}
+        try:
+            self.connection.send(message(b"Q", sql.encode() + b"\0"))
+            while True:
+                kind, body = self.connection.read()
+                if kind == b"C":
+                    answer["tag"] = body[:-1].decode()
+                elif kind == b"E":
+                    fields = {f[:1]: f[1:].decode() for f in body.split(b"\0") if f}
+                    answer["code"], answer["text"] = fields[b"C"], fields[b"M"]
+                    answer["detail"], answer["severity"] = fields.get(b"D", ""), fields[b"S"]
+                    if answer["severity"] == "FATAL":
+                        break
+                elif kind == b"Z":
+                    answer["status"] = body.decode()
+                    break
+        except (EOFError, OSError):
+            if answer["code"] is None:
+                answer["code"] = "gone"
+        told = answer["tag"] if answer["code"] is None else " ".join(
+            each for each in (answer["severity"], answer["code"] + ":", answer["text"], answer["detail"]) if each)
+        self.note(self.name, "is told " + told)
+        return answer
+
+    def close(self):
+        self.connection.sock.close()
