Review: an error to a hidden Parse never reaches the PostgreSQL client

Change: review/2 plays a prepared statement that is prepared anew after the server's connection was reset, with an error. Result: the client gets ReadyForQuery with neither result nor error, its INSERT was not run; in a transaction its COMMIT is answered with ROLLBACK. Without the reset (TROUBLE=0) the error arrives.

--- a/review/lib/postgres.py
+++ b/review/lib/postgres.py
@@ -1,5 +1,5 @@
 """Stand-ins of a PostgreSQL server and of its clients, as far as the cases need them: protocol 3.0, trust, simple queries,
-transactions over one table of numbers, cancels. Written from the manual's chapter "Frontend/Backend Protocol"."""
+prepared statements, transactions over one table of numbers, cancels. Written from the manual's chapter "Frontend/Backend Protocol"."""
 import re
 import socket
 import struct
@@ -49,7 +49,7 @@
         self.rows = [] if rows is None else rows  # committed, in their order; two servers may show one database
         self.open = set()  # sessions in a transaction
         self.most_open = 0
-        self.on_open = None
+        self.locked = False  # somebody else holds the table: what needs it fails by the server's lock_timeout
         self.sessions = {}
         self.last = 0
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -99,6 +99,15 @@
             count = len(self.open)
         self.note(self.name, f"session {session.number}: transaction begun; {count} open")
 
+    def reset_connections(self):
+        """Every connection is reset, as by something between that forgot it."""
+        for session in list(self.sessions.values()):
+            try:
+                session.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                session.connection.sock.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+
     def end(self, session):
         with self.lock:
             self.open.discard(session)
@@ -111,6 +120,7 @@
         self.status = b"I"
         self.rows = []
         self.cancelled = threading.Event()
+        self.prepared, self.portals, self.skipping = {}, {}, False
 
     def run(self):
         send = self.connection.send
@@ -126,10 +136,55 @@
             kind, body = self.connection.read()
             if kind == b"X":
                 return
-            if kind != b"Q":
-                send(error(b"0A000", b"only simple queries here", b"FATAL"))
-                return
-            send(self.query(body[:-1].decode()) + message(b"Z", self.status))
+            if kind == b"Q":
+                send(self.query(body[:-1].decode()) + message(b"Z", self.status))
+            elif kind == b"S":
+                self.skipping = False
+                if self.status == b"I" and self.rows:
+                    self.commit()
+                send(message(b"Z", self.status))
+            elif not self.skipping:
+                send(self.extended(kind, body))
+
+    def extended(self, kind, body):
+        """One message of the extended protocol, Sync aside."""
+        names = body.split(b"\0")
+        if kind == b"P":
+            self.server.note(self.server.name, f"session {self.number}: Parse {names[0].decode()}: {names[1].decode()}")
+            if self.server.locked and names[1].upper().startswith(b"INSERT"):
+                return self.fail(b"55P03", b"canceling statement due to lock timeout")
+            self.prepared[names[0]] = names[1].decode()
+            return message(b"1")
+        if kind == b"B":
+            if names[1] not in self.prepared:
+                return self.fail(b"26000", b"prepared statement does not exist")
+            text = self.prepared[names[1]]
+            if self.server.locked and text.upper().startswith("INSERT"):
+                return self.fail(b"55P03", b"canceling statement due to lock timeout")
+            if self.status == b"E" and text.upper() not in ("ROLLBACK", "COMMIT"):
+                return self.fail(b"25P02", b"current transaction is aborted")
+            self.portals[names[0]] = text
+            return message(b"2")
+        if kind == b"E":
+            inserted = re.fullmatch(r"INSERT INTO t VALUES \((\d+)\)", self.portals[names[0]], re.I)
+            if not inserted:
+                return self.query(self.portals[names[0]])
+            self.server.note(self.server.name, f"session {self.number}: runs {self.portals[names[0]]}")
+            self.rows.append(int(inserted.group(1)))
+            return message(b"C", b"INSERT 0 1\0")
+        if kind == b"C":
+            (self.prepared if body[:1] == b"S" else self.portals).pop(body[1:-1], None)
+            return message(b"3")
+        if kind == b"H":
+            return b""
+        return self.fail(b"0A000", b"not understood here")
+
+    def fail(self, code, text):
+        self.skipping = True
+        self.rows = [] if self.status == b"I" else self.rows
+        self.status = b"I" if self.status == b"I" else b"E"
+        self.server.note(self.server.name, f"session {self.number}: ERROR {code.decode()}: {text.decode()}")
+        return error(code, text)
 
     def query(self, text):
         self.cancelled.clear()
@@ -188,6 +243,12 @@
         self.roll_back("its connection has ended")
 
 
+class ConnectionRefused(Exception):
+    def __init__(self, code, text):
+        super().__init__(f"login refused: {code}: {text}")
+        self.code = code
+
+
 class Client:
     """A client of one session."""
 
@@ -200,18 +261,35 @@
         while True:
             kind, body = self.connection.read()
             if kind == b"E":
-                raise ConnectionError(f"login refused: {body!r}")
+                fields = {f[:1]: f[1:].decode() for f in body.split(b"\0") if f}
+                self.note(self.name, f"is not let in: {fields[b'C']}: {fields[b'M']}")
+                self.connection.sock.close()
+                raise ConnectionRefused(fields[b"C"], fields[b"M"])
             if kind == b"Z":
                 return
 
     def ask(self, sql):
-        """The answer of one simple query: a tag, or a code with its text. Code "gone": the connection ended without one."""
-        self.note(self.name, "sends " + sql)
-        answer = {"tag": None, "code": None, "text": "", "detail": "", "severity": "", "status": None}
+        """The answer of one simple query."""
+        return self.exchange(sql, message(b"Q", sql.encode() + b"\0"))
+
+    def prepare(self, name, sql):
+        return self.exchange(f"Parse {name}: {sql}, Sync", message(b"P", name.encode() + b"\0" + sql.encode() + b"\0\0\0") +
+                             message(b"S"))
+
+    def execute(self, name):
+        bind = b"\0" + name.encode() + b"\0" + struct.pack("!hhh", 0, 0, 0)
+        return self.exchange(f"Bind {name}, Execute, Sync", message(b"B", bind) + message(b"E", b"\0" + struct.pack("!i", 0)) +
+                             message(b"S"))
+
+    def exchange(self, what, data):
+        """Up to ReadyForQuery: a tag, or a code with its text. Code "gone": the connection ended without one."""
+        self.note(self.name, "sends " + what)
+        answer = {"kinds": "", "tag": None, "code": None, "text": "", "detail": "", "severity": "", "status": None}
         try:
-            self.connection.send(message(b"Q", sql.encode() + b"\0"))
+            self.connection.send(data)
             while True:
                 kind, body = self.connection.read()
+                answer["kinds"] += kind.decode()
                 if kind == b"C":
                     answer["tag"] = body[:-1].decode()
                 elif kind == b"E":
@@ -226,8 +304,9 @@
         except (EOFError, OSError):
             if answer["code"] is None:
                 answer["code"] = "gone"
-        told = answer["tag"] if answer["code"] is None else " ".join(
+        told = str(answer["tag"]) if answer["code"] is None else " ".join(
             each for each in (answer["severity"], answer["code"] + ":", answer["text"], answer["detail"]) if each)
+        told += f" (messages {answer['kinds']}, status {answer['status']})"
         self.note(self.name, "is told " + told)
         return answer
 
