--- a/review/lib/postgres.py
+++ b/review/lib/postgres.py
@@ -49,6 +49,8 @@
         self.rows = [] if rows is None else rows  # committed, in their order; two servers may show one database
         self.open = set()  # sessions in a transaction
         self.most_open = 0
+        self.schemas = {"public": []}  # of the table donors: the names in it; search_path names the one that a session sees
+        self.parse_takes = 0.0
         self.locked = False  # somebody else holds the table: what needs it fails by the server's lock_timeout
         self.sessions = {}
         self.last = 0
@@ -100,9 +102,10 @@
         self.note(self.name, f"session {session.number}: transaction begun; {count} open")
 
     def reset_connections(self):
-        """Every connection is reset, as by something between that forgot it."""
+        """Every connection is reset, also where something is under way."""
         for session in list(self.sessions.values()):
             try:
+                session.reset.set()
                 session.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 session.connection.sock.shutdown(socket.SHUT_RD)
             except OSError:
@@ -121,6 +124,8 @@
         self.rows = []
         self.cancelled = threading.Event()
         self.prepared, self.portals, self.skipping = {}, {}, False
+        self.search_path = "public"
+        self.reset = threading.Event()
 
     def run(self):
         send = self.connection.send
@@ -151,6 +156,8 @@
         names = body.split(b"\0")
         if kind == b"P":
             self.server.note(self.server.name, f"session {self.number}: Parse {names[0].decode()}: {names[1].decode()}")
+            if self.reset.wait(self.server.parse_takes):
+                raise EOFError
             if self.server.locked and names[1].upper().startswith(b"INSERT"):
                 return self.fail(b"55P03", b"canceling statement due to lock timeout")
             self.prepared[names[0]] = names[1].decode()
@@ -212,7 +219,19 @@
             if self.status == b"I":
                 self.commit()
             return message(b"C", b"INSERT 0 1\0")
+        chosen = re.fullmatch(r"SET search_path TO (\w+)", word, re.I)
+        if chosen:
+            self.search_path = chosen.group(1)
+            note(self.server.name, f"session {self.number}: {word}")
+            return message(b"C", b"SET\0")
+        if upper == "SELECT NAME FROM DONORS":
+            names = self.server.schemas.get(self.search_path, [])
+            note(self.server.name, f"session {self.number}: reads {self.search_path}.donors: {names}")
+            out = b"".join(message(b"D", struct.pack("!hi", 1, len(n)) + n.encode()) for n in names)
+            return out + message(b"C", b"SELECT %d\0" % len(names))
         if upper == "DISCARD ALL":
+            self.search_path = "public"
+            self.prepared.clear()
             return message(b"C", b"DISCARD ALL\0")
         if upper.startswith("SELECT"):
             column = message(b"T", struct.pack("!h", 1) + b"x\0" + struct.pack("!ihihih", 0, 0, 25, -1, -1, 0))
@@ -284,7 +303,7 @@
     def exchange(self, what, data):
         """Up to ReadyForQuery: a tag, or a code with its text. Code "gone": the connection ended without one."""
         self.note(self.name, "sends " + what)
-        answer = {"kinds": "", "tag": None, "code": None, "text": "", "detail": "", "severity": "", "status": None}
+        answer = {"kinds": "", "rows": [], "tag": None, "code": None, "text": "", "detail": "", "severity": "", "status": None}
         try:
             self.connection.send(data)
             while True:
@@ -292,6 +311,8 @@
                 answer["kinds"] += kind.decode()
                 if kind == b"C":
                     answer["tag"] = body[:-1].decode()
+                elif kind == b"D":
+                    answer["rows"].append(body[6:].decode())
                 elif kind == b"E":
                     fields = {f[:1]: f[1:].decode() for f in body.split(b"\0") if f}
                     answer["code"], answer["text"] = fields[b"C"], fields[b"M"]
@@ -306,6 +327,7 @@
                 answer["code"] = "gone"
         told = str(answer["tag"]) if answer["code"] is None else " ".join(
             each for each in (answer["severity"], answer["code"] + ":", answer["text"], answer["detail"]) if each)
+        told += f" {answer['rows']}" if answer["rows"] else ""
         told += f" (messages {answer['kinds']}, status {answer['status']})"
         self.note(self.name, "is told " + told)
         return answer
