--- a/review/lib/postgres.py
+++ b/review/lib/postgres.py
@@ -126,6 +126,8 @@
         self.prepared, self.portals, self.skipping = {}, {}, False
         self.search_path = "public"
         self.reset = threading.Event()
+        self.zone = self.told_zone = "UTC"
+        self.local_zone = None
 
     def run(self):
         send = self.connection.send
@@ -142,7 +144,8 @@
             if kind == b"X":
                 return
             if kind == b"Q":
-                send(self.query(body[:-1].decode()) + message(b"Z", self.status))
+                answer = self.query(body[:-1].decode())
+                send(answer + self.changed_settings() + message(b"Z", self.status))
             elif kind == b"S":
                 self.skipping = False
                 if self.status == b"I" and self.rows:
@@ -151,6 +154,14 @@
             elif not self.skipping:
                 send(self.extended(kind, body))
 
+    def changed_settings(self):
+        """ParameterStatus for what is no longer as it was last told."""
+        now = self.local_zone or self.zone
+        if now == self.told_zone:
+            return b""
+        self.told_zone = now
+        return message(b"S", b"TimeZone\0" + now.encode() + b"\0")
+
     def extended(self, kind, body):
         """One message of the extended protocol, Sync aside."""
         names = body.split(b"\0")
@@ -224,6 +235,21 @@
             self.search_path = chosen.group(1)
             note(self.server.name, f"session {self.number}: {word}")
             return message(b"C", b"SET\0")
+        zone = re.fullmatch(r"SET (LOCAL )?TimeZone TO '([\w/]+)'", word, re.I)
+        if zone:
+            if zone.group(1):
+                self.local_zone = zone.group(2)
+            else:
+                self.zone = zone.group(2)
+            note(self.server.name, f"session {self.number}: {word}")
+            return message(b"C", b"SET\0")
+        zone = re.search(r"set_config\(E'timezone', E'([\w/]+)', false\)", word, re.I)
+        if zone:
+            self.zone = zone.group(1)
+            note(self.server.name, f"session {self.number}: {word}")
+        if upper == "SHOW TIMEZONE":
+            value = (self.local_zone or self.zone).encode()
+            return message(b"D", struct.pack("!hi", 1, len(value)) + value) + message(b"C", b"SHOW\0")
         if upper == "SELECT NAME FROM DONORS":
             names = self.server.schemas.get(self.search_path, [])
             note(self.server.name, f"session {self.number}: reads {self.search_path}.donors: {names}")
@@ -249,6 +275,7 @@
             self.server.rows += rows
         self.server.note(self.server.name, f"session {self.number}: committed {rows}")
         self.status = b"I"
+        self.local_zone = None
         self.server.end(self)
 
     def roll_back(self, why):
@@ -256,6 +283,7 @@
             self.server.note(self.server.name, f"session {self.number}: rolled back {self.rows} ({why})")
         self.rows = []
         self.status = b"I"
+        self.local_zone = None
         self.server.end(self)
 
     def leave(self):
