--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -49,6 +49,10 @@
             self.record.write(f"{self.now():8.3f}  {who:<14} {what}\n")
             self.record.flush()
 
+    def stopped(self):
+        self.end()
+        os._exit(2)
+
     def overdue(self):
         self.note("play", "took too long")
         self.end()
@@ -109,6 +113,8 @@
     """Runs a case. `run` returns the text of the break, or None if the rule held."""
     case = Case(folder, limit)
     status = 2
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: case.stopped())
     try:
         broken = run(case)
         case.note("verdict", "BROKEN: " + broken if broken else "the rule held")
