--- a/review/lib/postgres.py
+++ b/review/lib/postgres.py
@@ -40,18 +40,16 @@
 
 class Server:
     """A server whose COMMIT takes `commit_takes` seconds, as on a slow disk: once it has begun it can't be cancelled, and
-    goes on when the client's connection breaks. Other statements end at a cancel. What is open when a connection ends is
-    rolled back. `committed` and `open` are what the database holds."""
+    goes on when the client's connection breaks. Other statements take no time. What is open when a connection ends is rolled
+    back. `rows` is what was committed."""
 
     def __init__(self, note, name="server", commit_takes=0.0, rows=None):
         self.note, self.name, self.commit_takes = note, name, commit_takes
         self.lock = threading.Lock()
         self.rows = [] if rows is None else rows  # committed, in their order; two servers may show one database
         self.open = set()  # sessions in a transaction
-        self.most_open = 0
         self.schemas = {"public": []}  # of the table donors: the names in it; search_path names the one that a session sees
         self.parse_takes = 0.0
-        self.locked = False  # somebody else holds the table: what needs it fails by the server's lock_timeout
         self.sessions = {}
         self.last = 0
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -97,7 +95,6 @@
     def begin(self, session):
         with self.lock:
             self.open.add(session)
-            self.most_open = max(self.most_open, len(self.open))
             count = len(self.open)
         self.note(self.name, f"session {session.number}: transaction begun; {count} open")
 
@@ -126,8 +123,6 @@
         self.prepared, self.portals, self.skipping = {}, {}, False
         self.search_path = "public"
         self.reset = threading.Event()
-        self.zone = self.told_zone = "UTC"
-        self.local_zone = None
 
     def run(self):
         send = self.connection.send
@@ -144,8 +139,7 @@
             if kind == b"X":
                 return
             if kind == b"Q":
-                answer = self.query(body[:-1].decode())
-                send(answer + self.changed_settings() + message(b"Z", self.status))
+                send(self.query(body[:-1].decode()) + message(b"Z", self.status))
             elif kind == b"S":
                 self.skipping = False
                 if self.status == b"I" and self.rows:
@@ -154,14 +148,6 @@
             elif not self.skipping:
                 send(self.extended(kind, body))
 
-    def changed_settings(self):
-        """ParameterStatus for what is no longer as it was last told."""
-        now = self.local_zone or self.zone
-        if now == self.told_zone:
-            return b""
-        self.told_zone = now
-        return message(b"S", b"TimeZone\0" + now.encode() + b"\0")
-
     def extended(self, kind, body):
         """One message of the extended protocol, Sync aside."""
         names = body.split(b"\0")
@@ -169,16 +155,12 @@
             self.server.note(self.server.name, f"session {self.number}: Parse {names[0].decode()}: {names[1].decode()}")
             if self.reset.wait(self.server.parse_takes):
                 raise EOFError
-            if self.server.locked and names[1].upper().startswith(b"INSERT"):
-                return self.fail(b"55P03", b"canceling statement due to lock timeout")
             self.prepared[names[0]] = names[1].decode()
             return message(b"1")
         if kind == b"B":
             if names[1] not in self.prepared:
                 return self.fail(b"26000", b"prepared statement does not exist")
             text = self.prepared[names[1]]
-            if self.server.locked and text.upper().startswith("INSERT"):
-                return self.fail(b"55P03", b"canceling statement due to lock timeout")
             if self.status == b"E" and text.upper() not in ("ROLLBACK", "COMMIT"):
                 return self.fail(b"25P02", b"current transaction is aborted")
             self.portals[names[0]] = text
@@ -235,21 +217,6 @@
             self.search_path = chosen.group(1)
             note(self.server.name, f"session {self.number}: {word}")
             return message(b"C", b"SET\0")
-        zone = re.fullmatch(r"SET (LOCAL )?TimeZone TO '([\w/]+)'", word, re.I)
-        if zone:
-            if zone.group(1):
-                self.local_zone = zone.group(2)
-            else:
-                self.zone = zone.group(2)
-            note(self.server.name, f"session {self.number}: {word}")
-            return message(b"C", b"SET\0")
-        zone = re.search(r"set_config\(E'timezone', E'([\w/]+)', false\)", word, re.I)
-        if zone:
-            self.zone = zone.group(1)
-            note(self.server.name, f"session {self.number}: {word}")
-        if upper == "SHOW TIMEZONE":
-            value = (self.local_zone or self.zone).encode()
-            return message(b"D", struct.pack("!hi", 1, len(value)) + value) + message(b"C", b"SHOW\0")
         if upper == "SELECT NAME FROM DONORS":
             names = self.server.schemas.get(self.search_path, [])
             note(self.server.name, f"session {self.number}: reads {self.search_path}.donors: {names}")
@@ -275,7 +242,6 @@
             self.server.rows += rows
         self.server.note(self.server.name, f"session {self.number}: committed {rows}")
         self.status = b"I"
-        self.local_zone = None
         self.server.end(self)
 
     def roll_back(self, why):
@@ -283,7 +249,6 @@
             self.server.note(self.server.name, f"session {self.number}: rolled back {self.rows} ({why})")
         self.rows = []
         self.status = b"I"
-        self.local_zone = None
         self.server.end(self)
 
     def leave(self):
