--- a/bench/surplus_answers.py
+++ b/bench/surplus_answers.py
@@ -6,6 +6,7 @@
 Starts a fleet of balancer processes before stand-ins of upstreams in several zones, all on loopback; `--one-way-ms` is the
 way between two zones. The balancers are restarted `--rounds` times, so that their connection pools are young again.
 Prints one line of JSON. Exit status: 0 when no request got a foreign answer and no effect happened twice, 1 otherwise.
+`--front gateway` sends the requests to a listener of [gateway] in place of /api's.
 Example: bench/surplus_answers.py --balancer build/flaxdoor_balancer --seed 1
 """
 import argparse
@@ -226,18 +227,32 @@
         self.config = os.path.join(self.folder, f"n{self.number}.json")
         with open(self.config, "w") as file:
             json.dump(config, file)
+        self.command = [self.options.balancer]
+        self.listening = "listening on "
+        if self.options.front == "gateway":
+            self.command += ["--operator", self.write_gateway()]
+            self.listening = "gateway: listening on "
+
+    def write_gateway(self):
+        servers = ", ".join(f'"{each.address}"' for each in self.upstreams)
+        path = os.path.join(self.folder, f"n{self.number}.toml")
+        with open(path, "w") as file:
+            file.write(f'[gateway]\nlisten = "127.0.0.1:0"\ncluster = "none"\n'
+                       f'[[route_pool]]\nname = "booking"\nservers = [{servers}]\n'
+                       f'[[route]]\nname = "all"\npath = "/api"\npools = ["booking"]\neffect = "by_method"\n')
+        return path
 
     async def start(self):
         environment = dict(os.environ, NODE_CONFIG=self.config)
         self.process = await asyncio.create_subprocess_exec(
-            self.options.balancer, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
+            *self.command, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE)
         while True:
             line = (await self.process.stderr.readline()).decode()
             if not line:
                 raise SystemExit("the balancer did not start")
-            if line.startswith("listening on "):
-                self.port = int(line.rsplit(":", 1)[1])
+            if line.startswith(self.listening):
+                self.port = int(line[len(self.listening):].split()[0].rsplit(":", 1)[1])
                 break
         self.log = asyncio.create_task(self.process.stderr.read())
 
@@ -298,6 +313,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--balancer", required=True, help="path of the balancer program")
+    parser.add_argument("--front", choices=["api", "gateway"], default="api")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--balancers", type=int, default=3)
     parser.add_argument("--upstreams", type=int, default=6)
