Limit how long requests wait for a connection to pass the reuse delay

Change: the requests to one upstream may wait 100 ms in a burst and a tenth of the time in the long run (WaitAllowance, a token bucket with time as an argument); beyond that one that finds no rested connection opens another. No connection is reused earlier: the bound is the same.

--- a/src/http/upstream_connection_pool.cpp
+++ b/src/http/upstream_connection_pool.cpp
@@ -11,6 +11,7 @@
 #include "http/client_machine.h"
 #include "http/payload.h"
 #include "http/platform.h"
+#include "http/wait_allowance.h"
 #include "loop/alarm.h"
 #include "loop/sockets.h"
 
@@ -116,6 +117,7 @@
         tcp::endpoint address;
         bool takes_work = true;
         std::vector<ConnectionPtr> idle;  // ordered by last use, most recent last
+        WaitAllowance waits;              // for connections to pass the reuse delay
     };
 
     // One connection, which carries one exchange at a time. It always waits for readability, also while idle, so that
@@ -434,12 +436,15 @@
         return nullptr;
     }
 
-    // Takes the connection that has been idle longest, when none has been idle for `reuse_delay`; null when none is idle.
-    // Waiting for it costs the request less than a new connection, and the upstream nothing.
+    // Takes the connection that has been idle longest, when none has been idle for `reuse_delay`; null when none is idle,
+    // or requests have waited too long already. Waiting costs the upstream nothing, a new connection does.
     ConnectionPtr take_first_to_rest(Upstream& upstream) const {
         if (upstream.idle.empty()) return nullptr;
         const auto limit = idle_limit();
         if (limit && *limit <= options_.reuse_delay) return nullptr;
+        const Time now = clock_.now();
+        const Micros wait = upstream.idle.front()->since() + options_.reuse_delay - now;
+        if (!upstream.waits.take(now, wait, options_.reuse_wait_burst)) return nullptr;
         ConnectionPtr connection = std::move(upstream.idle.front());
         upstream.idle.erase(upstream.idle.begin());
         return connection;
--- a/src/http/upstream_connection_pool.h
+++ b/src/http/upstream_connection_pool.h
@@ -43,6 +43,9 @@
     // the last one) that can't be taken for the response to the next request. HTTP/1.1 has nothing else that tells the
     // two apart. A connection on which surplus bytes arrive while it is idle is closed.
     Micros reuse_delay = std::chrono::milliseconds(15);
+    // Time that the requests to one upstream may wait in a burst for connections to pass `reuse_delay`; over time a tenth
+    // of the time (wait_allowance.h). A request that may not wait gets a new connection.
+    Micros reuse_wait_burst = std::chrono::milliseconds(100);
 };
 
 class UpstreamConnectionPool final : public core::UpstreamConnectionPool {
