--- a/src/http/upstream_connection_pool.cpp
+++ b/src/http/upstream_connection_pool.cpp
@@ -67,7 +67,7 @@
 
     void send(core::Attempt attempt) {
         const auto found = upstreams_.find(attempt.upstream);
-        if (found == upstreams_.end()) return report_unsent(attempt.key, false);
+        if (found == upstreams_.end()) return report_unsent(attempt.key, Outcome::inconclusive);
         if (const ConnectionPtr connection = take_idle(found->second)) {
             attempts_.emplace(attempt.key, connection);
             return connection->reuse(attempt);
@@ -76,7 +76,7 @@
             attempts_.emplace(attempt.key, connection);
             return connection->reserve(attempt, connection->since() + options_.reuse_delay);
         }
-        if (!ensure_capacity()) return report_unsent(attempt.key, true);
+        if (!ensure_capacity()) return report_unsent(attempt.key, Outcome::inconclusive, true);
         const auto connection = std::make_shared<Connection>(*this, attempt.upstream, found->second.address);
         attempts_.emplace(attempt.key, connection);
         connection->connect(attempt);
@@ -244,14 +244,11 @@
         // Ends the attempt of a reservation and returns the connection to the pool.
         void release(Outcome outcome) {
             const auto self = shared_from_this();
-            const core::Attempt attempt = *take_reservation();
+            const core::AttemptKey key = take_reservation()->key;
             disarm();
-            owner_.attempts_.erase(attempt.key);
+            owner_.attempts_.erase(key);
             owner_.return_to_pool(self);
-            core::AttemptResult result;
-            result.key = attempt.key;
-            result.outcome = outcome;
-            owner_.core_.on_attempt_end(std::move(result));
+            owner_.report_unsent(key, outcome);
         }
 
         // Sends the request with the time that is left now: establishing the connection may have taken long. Each
@@ -404,9 +401,10 @@
         return found == attempts_.end() ? nullptr : found->second;
     }
 
-    void report_unsent(core::AttemptKey key, bool own_fault) {
+    void report_unsent(core::AttemptKey key, Outcome outcome, bool own_fault = false) {
         core::AttemptResult result;
         result.key = key;
+        result.outcome = outcome;
         result.local_failure = own_fault;
         core_.on_attempt_end(std::move(result));
     }
