A pinned PostgreSQL session ends wherever it loses its state

Cause: on_server_lost() only noted the loss; the note was looked at where an error was written, and a unit that was not executed is retried by the core without one. on_link() took any connection.

Change: every loss of a link passes LinkedClient::on_server_lost(cause), which ends a session whose state is lost; on_link() refuses any connection after that. State that the open unit itself would leave is told from state that was there before it, so that such a unit is still retried. The attempt is unlinked before the session is told, as the session may give up its call. A unit that has not been sent no longer takes 'may have committed' from the unit before it. A client whose server has changed its role loses its link, which pointed to a connection that the pool could close.

--- a/src/pg/listener.cpp
+++ b/src/pg/listener.cpp
@@ -222,7 +222,7 @@
             // The final answer may arrive before the end of the attempt.
             if (server_link_ && session_->uses_server()) {
                 ServerLink* const server_link = server_link_;
-                const LossReport loss = on_server_lost();
+                const LossReport loss = lose_link();
                 may_have_run |= loss.may_have_run || loss.answer_started;
                 server_link->abandon(Outcome::cancelled);
             }
@@ -586,7 +586,7 @@
         void expire_unit() override {
             ServerLink* const server_link = server_link_;
             if (!server_link) return;
-            (void)on_server_lost();
+            (void)lose_link();
             server_link->abandon(Outcome::timeout);
         }
         void set_deadline(Micros after) override {
@@ -612,9 +612,10 @@
         }
         void on_server(const ServerEvent& event) override { session_->on_server(event); }
         void after_server() override { pump(); }
-        LossReport on_server_lost() override {
-            server_link_ = nullptr;
-            return session_->on_server_lost();
+        LossReport on_server_lost(LossCause cause) override {
+            const LossReport loss = lose_link();
+            session_->end_if_state_lost(cause);
+            return loss;
         }
         void on_drain(bool at_limit) override {
             const auto self = shared_from_this();
@@ -629,6 +630,11 @@
             return machine_.output().size() - output_written_ > max_output;
         }
 
+        LossReport lose_link() {
+            server_link_ = nullptr;
+            return session_->on_server_lost();
+        }
+
         Impl& owner_;
         const std::uint32_t number_;
         Key key_;
--- a/src/pg/server_connection_pool.cpp
+++ b/src/pg/server_connection_pool.cpp
@@ -78,7 +78,8 @@
 
     void cancel(core::AttemptKey key) {
         if (pool_.cancel_request(key)) return end(key, Outcome::cancelled, false);
-        if (const auto connection = connection_for(key)) connection->withdraw(Outcome::cancelled);
+        if (const auto connection = connection_for(key))
+            connection->withdraw(Outcome::cancelled, LossCause::connection_lost);
     }
 
     void expire(core::AttemptKey key) {
@@ -86,7 +87,7 @@
         const auto connection = connection_for(key);
         if (!connection) return;
         connection->read_now();  // the answer may have arrived without having been read
-        if (connection_for(key)) connection->withdraw(Outcome::timeout);
+        if (connection_for(key)) connection->withdraw(Outcome::timeout, LossCause::time_limit);
     }
 
     void close_idle(UpstreamId id) {
@@ -186,10 +187,9 @@
 
         // Ends an attempt for which nothing was sent.
         void end_unsent(Outcome outcome) {
-            const core::AttemptKey key = *attempt_;
             const auto client = client_.lock();
             const bool was_required = client && client->required_link() == this;
-            end_attempt(key, outcome, false);
+            end_attempt(outcome, false);
             if (was_required || closed_) return;
             client_.reset();
             owner_.pool_.on_free(id_, owner_.clock_.now());
@@ -210,7 +210,7 @@
             if (attempt_) owner_.core_.on_attempt_started(*attempt_, answer_latency_, nullptr);
         }
         void served() override {
-            if (attempt_) end_attempt(*attempt_, Outcome::ok, true);
+            if (attempt_) end_attempt(Outcome::ok, true);
         }
 
         void release(bool dirty) override {
@@ -232,24 +232,22 @@
             dirty_ = true;
             if (attempt_)
                 end_attempt(
-                    *attempt_,
                     outcome == Outcome::timeout && !may_have_executed ? Outcome::inconclusive : outcome,
                     may_have_executed);
             await_end();
         }
 
-        // The core withdraws the attempt.
-        void withdraw(Outcome outcome) {
+        // The attempt is withdrawn, by the core or since the server may not run it.
+        void withdraw(Outcome outcome, LossCause cause) {
             const auto self = shared_from_this();
-            const auto client = client_.lock();
-            const LossReport loss = client ? client->on_server_lost() : LossReport{};
-            client_.reset();
+            const core::AttemptKey key = detach_attempt();
+            const auto client = detach_client();
+            const LossReport loss = client ? client->on_server_lost(cause) : LossReport{};
             dirty_ = true;
             const bool may_have_executed = loss.may_have_run || loss.answer_started;
-            const core::AttemptKey key = *attempt_;
-            end_attempt(key,
-                        may_have_executed || outcome == Outcome::cancelled ? outcome : Outcome::inconclusive,
-                        may_have_executed);
+            report_end(key,
+                       may_have_executed || outcome == Outcome::cancelled ? outcome : Outcome::inconclusive,
+                       may_have_executed);
             await_end();
             if (client) client->after_server();
         }
@@ -349,12 +347,14 @@
             // it was placed before.
             if (!wrong_role_ && !takes_work()) return end_unsent(Outcome::inconclusive);
             if (!wrong_role_) return begin_unit();
-            const core::AttemptKey key = *attempt_;
-            const auto client = client_.lock();
-            client_.reset();
+            const core::AttemptKey key = detach_attempt();
+            const auto client = detach_client();
+            const bool was_required = client && client->required_link() == this;
             role_watch_ = true;
             owner_.report_role(upstream_, false);
-            end_attempt(key, Outcome::inconclusive, false, client);
+            if (was_required) (void)client->on_server_lost(LossCause::draining);
+            report_end(key, Outcome::inconclusive, false, client);
+            if (was_required) discard();  // the client's session state is left at the server
         }
 
         void check_role_change() {
@@ -385,7 +385,7 @@
                         // Only now is the unit itself sent, so a server that has started to drain meanwhile
                         // does not get it.
                         if (attempt_ && !takes_work()) {
-                            withdraw(Outcome::inconclusive);
+                            withdraw(Outcome::inconclusive, LossCause::draining);
                             break;
                         }
                         [[fallthrough]];
@@ -441,16 +441,17 @@
         // The connection is closed, whatever it was doing.
         void on_lost() {
             const auto self = shared_from_this();
-            const auto client = client_.lock();
-            const auto key = attempt_;
-            const LossReport loss = client ? client->on_server_lost() : LossReport{};
-            client_.reset();
+            const bool attempted = attempt_.has_value();
+            const core::AttemptKey key = attempted ? detach_attempt() : core::AttemptKey{};
+            const auto client = detach_client();
+            const LossReport loss =
+                client ? client->on_server_lost(LossCause::connection_lost) : LossReport{};
             remove();
             owner_.pool_.on_closed(id_);
             const bool may_have_executed = loss.may_have_run || loss.answer_started;
-            if (key)
-                end_attempt(*key, may_have_executed ? Outcome::reset : Outcome::connect_failed,
-                            may_have_executed, may_have_executed ? nullptr : client);
+            if (attempted)
+                report_end(key, may_have_executed ? Outcome::reset : Outcome::connect_failed,
+                           may_have_executed, may_have_executed ? nullptr : client);
             if (client) client->after_server();
             owner_.run();
         }
@@ -469,10 +470,27 @@
             owner_.run();
         }
 
-        void end_attempt(core::AttemptKey key, Outcome outcome, bool whole,
-                         const std::shared_ptr<LinkedClient>& unsent = nullptr) {
+        // Ends the linked attempt.
+        void end_attempt(Outcome outcome, bool whole, const std::shared_ptr<LinkedClient>& unsent = nullptr) {
+            report_end(detach_attempt(), outcome, whole, unsent);
+        }
+
+        // Unlinks the attempt, whose end is yet to be reported: the core can no longer withdraw it.
+        core::AttemptKey detach_attempt() {
+            const core::AttemptKey key = *attempt_;
             attempt_.reset();
             owner_.connections_by_attempt_.erase(key);
+            return key;
+        }
+
+        std::shared_ptr<LinkedClient> detach_client() {
+            auto client = client_.lock();
+            client_.reset();
+            return client;
+        }
+
+        void report_end(core::AttemptKey key, Outcome outcome, bool whole,
+                        const std::shared_ptr<LinkedClient>& unsent = nullptr) {
             if (unsent) owner_.waiting_clients_[key] = unsent;
             // Successful attempts are measured until their answer began, because the client determines how
             // long a transaction stays open.
--- a/src/pg/session.cpp
+++ b/src/pg/session.cpp
@@ -156,7 +156,7 @@
         host_.set_deadline(options_.deadline);
         return forward(message);
     }
-    answer_started_ = deadline_passed_ = commit_in_doubt_ = state_lost_ = false;
+    answer_started_ = deadline_passed_ = commit_in_doubt_ = false;
     lost_status_ = status_;
     phase_ = Phase::waiting;
     buffer_message(message);
@@ -205,11 +205,13 @@
 void Session::on_cancel() {
     if (phase_ == Phase::running && server_) return host_.cancel_running();
     if (phase_ != Phase::waiting || requesting_parameters_) return;
+    constexpr std::string_view message = "canceling statement due to user request";
     const bool keep = requires_linked_server_ && server_ && !applying_settings_;
+    if (!keep && state_at_server_) return end_session("57014", std::string(message));
     if (!keep) unlink();
     unit_open_ = false;
     host_.leave_unit(keep);
-    answer_unit("57014", "canceling statement due to user request", {}, status_after_loss());
+    answer_unit("57014", std::string(message), {}, status_after_loss());
 }
 
 // --- Linking ---
@@ -225,8 +227,9 @@
         host_.release(false);
         return true;
     }
-    if (!replayable_) return false;
+    if (!replayable_ || state_lost_) return false;
     server_ = &server;
+    pinned_ = state_at_server_;  // what the unit itself pins is found as it is forwarded
     server.begin_unit();
     applying_settings_ = apply_settings();
     if (!applying_settings_) forward_buffered();
@@ -274,7 +277,7 @@
         return end_session(event.code, event.text);
     }
     // Settings that the server does not report stay with this connection.
-    if (!client_settings_.empty()) pinned_ = true;
+    if (!client_settings_.empty()) pinned_ = state_at_server_ = true;
     client_settings_.clear();
     adopt_parameters();
     forward_buffered();
@@ -559,6 +562,7 @@
     if (status != 'I') return server_->begin_segment();
     portals_.clear();
     unit_open_ = false;
+    state_at_server_ = pinned_;
     const bool keep = options_.mode == Mode::session || pinned_;
     host_.unit_served();
     if (keep || !server_) return;
@@ -575,24 +579,33 @@
 
 LossReport Session::on_server_lost() {
     if (!server_) return {};
+    const bool sent = unit_open_ && phase_ != Phase::waiting;
     LossReport loss;
-    loss.may_have_run = unit_open_ && !applying_settings_ && server_->may_have_run();
+    loss.may_have_run = sent && server_->may_have_run();
     loss.answer_started = unit_open_ && answer_started_;
     const bool was_open = status_ != 'I';
-    commit_in_doubt_ = unit_open_ && !applying_settings_ && server_->may_have_committed();
+    commit_in_doubt_ = sent && server_->may_have_committed();
     const bool open_after = segment_.begins || (was_open && !segment_.ends);
     lost_status_ = phase_ == Phase::idle ? status_ : open_after ? 'E' : 'I';
-    state_lost_ = pinned_;
+    state_lost_ = state_at_server_ || (pinned_ && answer_started_);
     for (const auto& name : unconfirmed_) prepared_.erase(name);
     unconfirmed_.clear();
     portals_.clear();
     unlink();
     if (phase_ == Phase::running) phase_ = Phase::waiting;
-    if (!unit_open_ && state_lost_)
-        end_session("08006", "the server that held this session's state has gone");
     return loss;
 }
 
+void Session::end_if_state_lost(LossCause cause) {
+    if (!state_lost_) return;
+    if (cause == LossCause::draining && !commit_in_doubt_)
+        return end_session("57P01", "the server that holds this session's state drains");
+    if (cause != LossCause::time_limit && !commit_in_doubt_)
+        return end_session("08006", "the server that held this session's state has gone");
+    const ErrorText error = loss_error(cause == LossCause::time_limit);
+    end_session(error.code, std::string(error.message), error.detail);
+}
+
 void Session::on_rejected(const Rejection& rejection) {
     if (phase_ == Phase::over || !unit_open_) return;
     unit_open_ = false;
@@ -608,8 +621,8 @@
         host_.release(true);
         return request_server(false);
     }
-    if (state_lost_ && !server_)
-        return end_session("08006", "the server that held this session's state has gone");
+    if (state_lost_) return end_if_state_lost(LossCause::connection_lost);
+    if (!server_) pinned_ = false;  // what the unit would have pinned has not run
     answer_unit("53000", "no server took this: " + rejection.reason, detail, status_after_loss());
 }
 
@@ -618,27 +631,33 @@
     unit_open_ = false;
     host_.set_deadline(Micros{0});
     if (requesting_parameters_) return end_session("57P03", "no server of this database is to be had");
-    const bool timed_out = deadline_passed_ || failure == Failure::timed_out;
-    std::string_view code = commit_in_doubt_ ? "08007" : "08006";
-    std::string message = "the server was lost; its transaction was rolled back";
-    std::string detail = "What was sent since the transaction began has had no effect.";
-    if (commit_in_doubt_) {
-        message = "the server was lost; whether its transaction was committed is not known";
-        detail = "It may have run: look before it is repeated.";
-    }
-    if (timed_out) {
-        code = "57014";
-        message = "canceling statement due to the time limit of this database";
-    }
-    if (state_lost_) return end_session(code, message, detail);
+    const ErrorText error = loss_error(deadline_passed_ || failure == Failure::timed_out);
+    if (state_lost_ || pinned_) return end_session(error.code, std::string(error.message), error.detail);
     if (phase_ == Phase::idle) {  // between the segments of a transaction
         transaction_lost_ = true;
         status_ = 'E';
-        pending_loss_error_ = ErrorText{
-            Severity::error, code, "the server was lost; its transaction was rolled back", detail, {}};
+        pending_loss_error_ = error;
         return;
     }
-    answer_unit(code, message, detail, status_after_loss());
+    answer_unit(error.code, std::string(error.message), error.detail, status_after_loss());
+}
+
+ErrorText Session::loss_error(bool timed_out) const {
+    ErrorText error{Severity::error,
+                    "08006",
+                    "the server was lost; its transaction was rolled back",
+                    "What was sent since the transaction began has had no effect.",
+                    {}};
+    if (commit_in_doubt_) {
+        error.code = "08007";
+        error.message = "the server was lost; whether its transaction was committed is not known";
+        error.detail = "It may have run: look before it is repeated.";
+    }
+    if (timed_out) {
+        error.code = "57014";
+        error.message = "canceling statement due to the time limit of this database";
+    }
+    return error;
 }
 
 void Session::answer_unit(std::string_view code, std::string message, std::string detail, char status) {
--- a/src/pg/session.h
+++ b/src/pg/session.h
@@ -61,6 +61,13 @@
 };
 enum class Failure : std::uint8_t { lost, timed_out, error };
 
+// Why a session loses its link.
+enum class LossCause : std::uint8_t {
+    connection_lost,  // by the server, the network or the balancer
+    time_limit,       // the unit's time limit has passed
+    draining,         // the server is draining, or has another address
+};
+
 // What a lost server may have executed of a unit.
 struct LossReport {
     bool may_have_run = false;
@@ -120,6 +127,8 @@
     // The linked server is lost. The result decides whether the unit may be sent to another server; if a unit
     // was open, on_link(), on_rejected() or on_failed() follows.
     LossReport on_server_lost();
+    // Ends the session if its latest loss included session state, which no other server has.
+    void end_if_state_lost(LossCause cause);
 
     // --- End of a unit or of the session ---
     void on_rejected(const Rejection& rejection);
@@ -211,6 +220,8 @@
     // Returns true if the server's settings have to be changed first.
     bool apply_settings();
     void adopt_parameters();
+    // The error of a unit whose server was lost when the unit may have run.
+    ErrorText loss_error(bool timed_out) const;
     // Answers the open unit with an error, and with the ReadyForQuery that the protocol requires behind it.
     void answer_unit(std::string_view code, std::string message, std::string detail, char status);
     void end_session(std::string_view code, std::string message, std::string detail = {});
@@ -235,6 +246,9 @@
     bool transaction_lost_ = false;  // a transaction was lost: the client sees a failed one until ROLLBACK
     std::optional<ErrorText> pending_loss_error_;  // error that answers the client's next message
     bool pinned_ = false;
+    // The linked server holds session state from before the open unit, which sending the unit again does not
+    // restore.
+    bool state_at_server_ = false;
     bool applying_settings_ = false;  // the session's settings were sent to the linked server
     bool deadline_passed_ = false;    // the unit's own deadline has passed
     char status_ = 'I';               // transaction status that was last reported to the client
@@ -245,7 +259,7 @@
     bool replayable_ = true;
     bool commit_in_doubt_ = false;  // at the latest loss, a commit may have been sent
     char lost_status_ = 'I';        // transaction status of the client after the latest loss
-    bool state_lost_ = false;       // the latest loss also lost the session state at the server
+    bool state_lost_ = false;  // the latest loss included session state: no server may be linked any more
     std::unordered_map<std::string, PreparedPtr> prepared_;  // by the client's name
     std::unordered_map<std::string, PreparedPtr> portals_;
     std::deque<std::string> unconfirmed_;  // names whose ParseComplete is outstanding, in order
--- a/src/pg/unit.h
+++ b/src/pg/unit.h
@@ -47,7 +47,8 @@
     virtual void on_server(const ServerEvent& event) = 0;
     // All available events have been passed in, or the server accepts bytes again.
     virtual void after_server() = 0;
-    virtual LossReport on_server_lost() = 0;
+    // The link has ended. This ends the client's session if the server held its state.
+    virtual LossReport on_server_lost(LossCause cause) = 0;
     // The server is draining. `at_limit`: the time limit for open transactions has passed.
     virtual void on_drain(bool at_limit) = 0;
     // Returns true while the client's output buffer is full.
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -114,6 +114,57 @@
     EXPECT_EQ(client->answers().back().code, "08006");
 }
 
+// A session with state at its server was moved to another server when it lost its connection before any
+// statement was executed: it read without its state, and was told of no loss.
+TEST(Failover, PinnedSessionIsNotMovedWhereverItLosesItsServer) {
+    const std::vector<string> messages{wire::parse("", "SHOW search_path"), wire::describe('S', ""),
+                                       wire::bind("", ""), wire::execute(""), wire::sync()};
+    for (std::size_t sent = 1; sent <= messages.size(); ++sent) {
+        SCOPED_TRACE(sent);
+        Rig rig({"a"});
+        const auto client = Client::logged_in(rig);
+        EXPECT_EQ(client->ask(simple("SET search_path TO b")).tag, "SET");
+        string first, rest;
+        for (std::size_t i = 0; i < messages.size(); ++i) (i < sent ? first : rest) += messages[i];
+        rig.servers[0]->stall(true);
+        client->send(first);
+        rig.settle();
+        rig.servers[0]->terminate_sessions();
+        rig.servers[0]->stall(false);
+        rig.settle();
+        client->send(rest);
+        ASSERT_TRUE(rig.until([&] { return client->ended() || client->readies() == 2; }));
+        EXPECT_EQ(client->answers().back().severity, "FATAL");
+        EXPECT_EQ(client->answers().back().code, rest.empty() ? "08007" : "08006");
+        EXPECT_EQ(client->answers().back().rows.size(), 0u);
+    }
+}
+
+// The unit of a session with state went to another server when the connection was lost while the unit waited
+// in the queue.
+TEST(Failover, PinnedSessionIsNotMovedFromTheQueue) {
+    Rig rig;
+    rig.pool.connections = 1;
+    rig.start({"a"});
+    const auto pinned = Client::logged_in(rig);
+    EXPECT_EQ(pinned->ask(simple("SET search_path TO b")).tag, "SET");
+    // The first of these is placed and waits for the connection, the others wait in the queue.
+    std::vector<std::shared_ptr<Client>> others;
+    for (long i = 0; i < 3; ++i) {
+        others.push_back(Client::logged_in(rig));
+        others.back()->send(simple(insert(i)));
+        rig.settle();
+    }
+    pinned->send(unit("SHOW search_path"));
+    rig.settle();
+    EXPECT_EQ(pinned->readies(), 1u) << "the unit does not wait";
+    rig.servers[0]->terminate_sessions();
+    ASSERT_TRUE(pinned->wait_for_end());
+    EXPECT_EQ(pinned->answers().back().severity, "FATAL");
+    EXPECT_EQ(pinned->answers().back().code, "08006");
+    for (const auto& other : others) EXPECT_TRUE(other->answered(1));
+}
+
 TEST(Failover, RejectionWithoutServersHasARetryTime) {
     Rig rig;
     rig.deadline = 500ms;
@@ -622,6 +673,22 @@
 
 // --- Session state ---
 
+TEST(Roles, PinnedSessionEndsWhenItsServerChangesRole) {
+    Rig rig;
+    rig.role = Role::replica;
+    rig.add_server("a", true);
+    rig.begin();
+    const auto client = Client::logged_in(rig);
+    EXPECT_EQ(client->ask(simple("SET search_path TO b")).tag, "SET");
+    rig.servers[0]->promote();
+    EXPECT_EQ(client->ask(simple("SELECT 1")).rows.size(), 1u);  // the server reports its role with this one
+    client->send(simple("SELECT 2"));
+    ASSERT_TRUE(client->wait_for_end());
+    EXPECT_EQ(client->answers().back().severity, "FATAL");
+    EXPECT_EQ(client->answers().back().code, "57P01");
+    EXPECT_EQ(with_text(rig, "SELECT 2"), 0u);
+}
+
 TEST(Pooling, PreparedStatementsMoveBetweenServers) {
     Rig rig({"a", "b"});
     const auto client = Client::logged_in(rig), other = Client::logged_in(rig);
