What may have been committed when a PostgreSQL session is ended is told 08007

Cause: Session::terminate() did not ask what was under way; in the error of a lost unit the time limit's code was put over 08007.

Change: terminate() tells 08007 where a commit was written and not answered (COMMIT, a statement or segment outside a transaction, a pipeline that commits), else 57P01. In a transaction 57014 gives way to 08007 likewise; outside of one it stays, as the page says unknown there.

--- a/src/pg/session.cpp
+++ b/src/pg/session.cpp
@@ -33,6 +33,9 @@
 constexpr std::string_view in_failed_transaction =
     "current transaction is aborted, commands ignored until end of transaction block";
 
+// Detail of the errors that leave open whether a transaction was committed.
+constexpr std::string_view detail_in_doubt = "It may have run: look before it is repeated.";
+
 std::string in_seconds(Micros span) {
     const auto ms = (span.count() + 999) / 1000;
     return std::to_string(ms) + " ms";
@@ -579,12 +582,11 @@
 
 LossReport Session::on_server_lost() {
     if (!server_) return {};
-    const bool sent = unit_open_ && phase_ != Phase::waiting;
     LossReport loss;
-    loss.may_have_run = sent && server_->may_have_run();
+    loss.may_have_run = unit_is_sent() && server_->may_have_run();
     loss.answer_started = unit_open_ && answer_started_;
     const bool was_open = status_ != 'I';
-    commit_in_doubt_ = sent && server_->may_have_committed();
+    commit_in_doubt_ = may_have_committed();
     const bool open_after = segment_.begins || (was_open && !segment_.ends);
     lost_status_ = phase_ == Phase::idle ? status_ : open_after ? 'E' : 'I';
     state_lost_ = state_at_server_ || (pinned_ && answer_started_);
@@ -651,9 +653,10 @@
     if (commit_in_doubt_) {
         error.code = "08007";
         error.message = "the server was lost; whether its transaction was committed is not known";
-        error.detail = "It may have run: look before it is repeated.";
+        error.detail = detail_in_doubt;
     }
-    if (timed_out) {
+    // In a transaction, 57014 tells that it is rolled back.
+    if (timed_out && !(commit_in_doubt_ && status_ != 'I')) {
         error.code = "57014";
         error.message = "canceling statement due to the time limit of this database";
     }
@@ -687,6 +690,12 @@
     host_.expire_unit();
 }
 
+void Session::terminate(std::string_view reason) {
+    if (!may_have_committed()) return end_session("57P01", std::string(reason));
+    end_session("08007", std::string(reason) + "; whether its transaction was committed is not known",
+                std::string(detail_in_doubt));
+}
+
 void Session::end_with_error(std::string_view code, std::string_view reason) {
     end_session(code, std::string(reason));
 }
--- a/src/pg/session.h
+++ b/src/pg/session.h
@@ -134,8 +134,9 @@
     void on_rejected(const Rejection& rejection);
     void on_failed(Failure failure);
     void on_deadline();
-    // Sends the error 57P01 to the client and ends the session.
-    void terminate(std::string_view reason) { end_with_error("57P01", reason); }
+    // Ends the session with the error 57P01, which tells the client that its open transaction is rolled back, or
+    // with 08007 if the transaction may have been committed.
+    void terminate(std::string_view reason);
     void end_with_error(std::string_view code, std::string_view reason);
     // The linked server is draining: the session releases it unless a unit is open or the session is pinned.
     void on_drain();
@@ -220,6 +221,9 @@
     // Returns true if the server's settings have to be changed first.
     bool apply_settings();
     void adopt_parameters();
+    // Returns true if anything of the open unit itself, beyond the settings, was passed to the server.
+    bool unit_is_sent() const { return server_ && unit_open_ && phase_ != Phase::waiting; }
+    bool may_have_committed() const { return unit_is_sent() && server_->may_have_committed(); }
     // The error of a unit whose server was lost when the unit may have run.
     ErrorText loss_error(bool timed_out) const;
     // Answers the open unit with an error, and with the ReadyForQuery that the protocol requires behind it.
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -326,6 +326,20 @@
     EXPECT_EQ(rig.journal.effects[1].committed, 0);
 }
 
+// In a transaction 57014 tells that it is rolled back; it was told of a COMMIT that the server went on to run.
+TEST(Deadline, CommitUnderWayIsToldAsUnknown) {
+    Rig rig;
+    rig.deadline = 200ms;
+    rig.start({"a"});
+    const auto client = Client::logged_in(rig);
+    (void)client->ask(simple("BEGIN"));
+    (void)client->ask(simple(insert(1)));
+    rig.servers[0]->stall(true);
+    EXPECT_EQ(client->ask(simple("COMMIT")).code, "08007");
+    rig.servers[0]->stall(false);
+    ASSERT_TRUE(rig.until([&] { return rig.journal.effects[1].committed == 1; }));
+}
+
 // --- Misbehaving clients ---
 
 TEST(BadClient, ClientThatStopsReadingBuffersALimitedAmount) {
@@ -609,6 +623,71 @@
     EXPECT_EQ(client->answers().back().code, "57P01");
 }
 
+// What was under way when a session was ended, and whether it may have been committed.
+struct UnderWay {
+    string name;
+    std::vector<string> answered;  // units before it
+    string unit;
+    bool may_be_committed = false;
+};
+
+std::vector<UnderWay> units_under_way() {
+    const std::vector<string> open{simple("BEGIN"), simple(insert(1))};
+    return {
+        {"commit", open, simple("COMMIT"), true},
+        {"commit by the extended protocol", open, unit("COMMIT"), true},
+        {"commit inside a pipeline", open, wire::extended("COMMIT") + wire::extended("SELECT 1"), true},
+        {"statement outside a transaction", {}, simple(insert(1)), true},
+        {"segment outside a transaction", {}, unit(insert(1)), true},
+        {"segment without its Sync", {}, wire::extended(insert(1)), false},
+        {"statement in a transaction", open, simple(insert(2)), false},
+        {"rollback", open, simple("ROLLBACK"), false},
+        {"idle in a transaction", open, "", false},
+    };
+}
+
+// Sends the unit to a server that reads it only after `end`, which ends the client's session, has begun.
+Answer answer_to_unit_under_way(Rig& rig, const UnderWay& under_way, const std::function<void()>& end) {
+    const auto client = Client::logged_in(rig);
+    for (const string& before : under_way.answered) EXPECT_EQ(client->ask(before).errors, 0u);
+    rig.servers[0]->stall(true);
+    client->send(under_way.unit);
+    rig.settle();
+    end();
+    EXPECT_TRUE(client->wait_for_end());
+    return client->answers().back();
+}
+
+// A client was told 57P01, "the open transaction is rolled back", while its COMMIT was under way, which was
+// then committed.
+TEST(Drain, WhatMayBeCommittedAtTheLimitIsToldAsUnknown) {
+    for (const UnderWay& under_way : units_under_way()) {
+        SCOPED_TRACE(under_way.name);
+        Rig rig;
+        rig.drain_limit = 100ms;
+        rig.start({"a"});
+        const Answer answer =
+            answer_to_unit_under_way(rig, under_way, [&] { rig.update_servers({UpstreamState::draining}); });
+        EXPECT_EQ(answer.severity, "FATAL");
+        EXPECT_EQ(answer.code, under_way.may_be_committed ? "08007" : "57P01");
+    }
+}
+
+// The same fault at the end of the daemon's own drain.
+TEST(Drain, WhatMayBeCommittedAtTheDaemonsEndIsToldAsUnknown) {
+    for (const UnderWay& under_way : units_under_way()) {
+        SCOPED_TRACE(under_way.name);
+        Rig rig({"a"});
+        const Answer answer = answer_to_unit_under_way(rig, under_way, [&] {
+            rig.service->begin_drain();
+            rig.settle();
+            rig.service->stop();
+        });
+        EXPECT_EQ(answer.severity, "FATAL");
+        EXPECT_EQ(answer.code, under_way.may_be_committed ? "08007" : "57P01");
+    }
+}
+
 TEST(Drain, SessionsWithoutStateMoveAndOthersEndAtTheLimit) {
     Rig rig;
     rig.session.mode = Mode::session;
