[gateway] answers the requests that are open at the end of the drain

Cause: Runtime::stop() stopped the listeners, which abandons their calls, before removing the pools, which answers them.

Change: the pools first, removed ones too; longest_deadline() counts the pools of removed routes while their requests are open.

Gateway tests pass.

--- a/src/ingress/runtime.cpp
+++ b/src/ingress/runtime.cpp
@@ -140,14 +140,15 @@
         stopped_ = true;
         reopen_timer_.cancel();
         sweep_timer_.cancel();
+        // Answers the requests that are still open, while the listeners still exist.
+        for (auto& [key, pool] : pools_) core_.remove_pool(pool->id);
+        for (auto& pool : removed_pools_) core_.remove_pool(pool->id);
         for (const auto& [port, listener] : listeners_) {
             if (listener->http_listener) listener->http_listener->stop();
         }
         for (const auto& listener : closing_listeners_) listener->http_listener->stop();
         listeners_.clear();
         closing_listeners_.clear();
-        for (auto& [key, pool] : pools_) core_.remove_pool(pool->id);
-        for (auto& pool : removed_pools_) core_.remove_pool(pool->id);
         pools_.clear();
         removed_pools_.clear();
         current_ports_.reset();
@@ -161,9 +162,11 @@
 
     Micros longest_deadline() const {
         Micros longest{};
-        for (const auto& [key, pool] : pools_) {
-            for (const auto& each : pool->classes) longest = std::max(longest, each.deadline);
-        }
+        const auto add = [&longest](const Pool& pool) {
+            for (const auto& each : pool.classes) longest = std::max(longest, each.deadline);
+        };
+        for (const auto& [key, pool] : pools_) add(*pool);
+        for (const auto& pool : removed_pools_) add(*pool);  // their last requests are still open
         return longest;
     }
 
