An error to a PostgreSQL statement that is prepared again reaches the client

Cause: the balancer's own Parse ahead of the Bind is hidden, and handle_message() hid its ErrorResponse too.

Change: an ErrorResponse is passed on unless it answers a query of the balancer itself.

Result: the new test, alone and in a transaction, got 0 errors before, 42P01 now.

--- a/src/pg/server_machine.cpp
+++ b/src/pg/server_machine.cpp
@@ -244,7 +244,10 @@
             store_parameter(message);
             passes_on = !is_internal;
             return std::nullopt;
-        case 'E': return handle_error(message);
+        case 'E':
+            // An error to a hidden message ends the segment: the server skips what follows up to the Sync.
+            passes_on = !is_internal;
+            return handle_error(message);
         case 'Z': return handle_ready(message);
         case '1':
             if (in_turn = expecting({AnswerKind::parse}); in_turn) {
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -804,6 +804,35 @@
               std::vector<string>{"5"});
 }
 
+// The error with which a server answered the Parse that prepares a statement again never reached the client:
+// its unit was answered by ReadyForQuery alone, and had not run.
+TEST(Pooling, ErrorOfAStatementThatIsPreparedAgainReachesTheClient) {
+    for (const bool in_transaction : {false, true}) {
+        SCOPED_TRACE(in_transaction);
+        Rig rig({"a"});
+        const auto client = Client::logged_in(rig);
+        const string run = wire::bind("", "s") + wire::execute("") + wire::sync();
+        (void)client->ask(simple("CREATE TABLE u (x BIGINT)"));
+        (void)client->ask(wire::parse("s", "INSERT INTO u VALUES (1)") + wire::sync());
+        EXPECT_EQ(client->ask(run).tag, "INSERT 0 1");
+        rig.servers[0]->database()->tables.erase("u");
+        rig.servers[0]->terminate_sessions();
+        rig.settle();
+        if (in_transaction) {
+            EXPECT_EQ(client->ask(simple("BEGIN")).status, 'T');
+        }
+        const Answer answer = client->ask(run);
+        EXPECT_EQ(answer.code, "42P01");
+        EXPECT_EQ(answer.errors, 1u);
+        EXPECT_EQ(answer.status, in_transaction ? 'E' : 'I');
+        if (in_transaction) {
+            EXPECT_EQ(client->ask(simple("COMMIT")).tag, "ROLLBACK");
+        }
+        (void)client->ask(simple("CREATE TABLE u (x BIGINT)"));
+        EXPECT_EQ(client->ask(run).tag, "INSERT 0 1") << "the client's statement stays prepared";
+    }
+}
+
 TEST(Pooling, StartupSettingsAreAppliedAtEachServer) {
     Rig rig({"a"});
     const auto client =
