An attempt under a budget of places keeps its limit when its answer has begun

Cause: the coordinator counts a permit for longest_deadline after the last request that reported it; the admission limits an attempt to that, but the core cancelled the limit with the first byte of the answer.

Change: Call::whole_attempt_limit holds over the whole attempt. When it is reached the core asks CallPermits::remaining(): longest_deadline from the attempt's begin, or from the last granted request that reported it. So a transaction goes on while the coordinator is reached, and ends (57014) before the place can be given away.

--- a/src/budget/admission.cpp
+++ b/src/budget/admission.cpp
@@ -96,6 +96,13 @@
         begun_.erase(found);
     }
 
+    Micros remaining(int attempt) const override {
+        const auto found = std::find_if(begun_.begin(), begun_.end(),
+                                        [&](const BegunAttempt& b) { return b.attempt == attempt; });
+        if (found == begun_.end()) return {};
+        return owner_.holder_.permit_held_until(found->at) - owner_.clock_.now();
+    }
+
     Micros retry_after(Time) override { return owner_.retry_delay(missing_budget_, owner_.clock_.now()); }
 
     // Reserves the permits of the next attempt, for the first one before it has a number. Returns false if a
@@ -166,9 +173,10 @@
         applicable.push_back(i);
         if (budgets[i].counts != Counts::concurrency) continue;
         // The attempt must not outlast its concurrency permit, which the authority frees after `longest` if
-        // this process dies.
+        // it does not hear of it again.
         const Micros longest = holder_.terms().max_attempt_duration;
-        call.attempt_limit = call.attempt_limit > Micros{} ? std::min(call.attempt_limit, longest) : longest;
+        Micros& limit = call.whole_attempt_limit;
+        limit = limit > Micros{} ? std::min(limit, longest) : longest;
     }
     core::AdmissionResult admitted;
     if (applicable.empty()) return admitted;
--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -141,6 +141,7 @@
         return;
     }
     reserves_withdrawn_ = false;
+    last_granted_request_at_ = std::max(last_granted_request_at_, sent_at);
     min_interval_ = std::clamp(reply.min_request_interval, terms_.lease_term / max_requests_per_term,
                                terms_.lease_term / requests_per_term);
     const FencingToken fence{reply.epoch, reply.seq};
@@ -166,6 +167,10 @@
     }
 }
 
+Time Holder::permit_held_until(Time began) const {
+    return std::max(began, last_granted_request_at_) + terms_.max_attempt_duration;
+}
+
 void Holder::on_no_reply(Time now) {
     const Micros max_back_off = terms_.lease_term / requests_per_term;
     back_off_ = std::clamp(back_off_ * 2, terms_.lease_term / max_requests_per_term, max_back_off);
--- a/src/budget/holder.h
+++ b/src/budget/holder.h
@@ -58,6 +58,10 @@
     const std::string& why() const { return why_; }
     FencingToken accepted_fence() const { return accepted_fence_; }
     bool has_lease(Time now);
+    // Returns until when the authority counts the concurrency permit of an attempt that began at `began` and is
+    // under way: for the longest attempt from its beginning, or from the last request that has been granted and
+    // reported it.
+    Time permit_held_until(Time began) const;
 
 private:
     struct Sent {
@@ -98,6 +102,7 @@
     FencingToken accepted_fence_;
     std::uint64_t highest_epoch_ = 0;
     Time leased_until_{};
+    Time last_granted_request_at_{};
     Verdict last_verdict_ = Verdict::waiting;
     std::string why_;
 };
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -27,6 +27,9 @@
     // Releases the permit of an attempt that has ended here. `known`: the attempt has ended at its server
     // too, or never began.
     virtual void release(int attempt, bool known, Time now) = 0;
+    // Returns for how much longer the permit of an attempt that is under way is sure to be held. An attempt whose
+    // answer has begun may go on for that time, beyond the call's whole_attempt_limit.
+    virtual Micros remaining(int attempt) const = 0;
     // Returns after how long a client should retry a call that was denied a permit; zero if that is unknown.
     virtual Micros retry_after(Time now) = 0;
 };
@@ -40,7 +43,7 @@
 class Admission {
 public:
     virtual ~Admission() = default;
-    // May tighten the call's attempt_limit.
+    // May tighten the call's whole_attempt_limit.
     [[nodiscard]] virtual AdmissionResult admit(Call& call, const std::string& pool, const Settings& settings,
                                                 Time now) = 0;
 };
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -66,6 +66,8 @@
     bool write = false;
     std::optional<UpstreamId> pinned;  // the only upstream that may serve the call
     Micros attempt_limit{};            // upper bound on an attempt's timeout, beside the policy's; zero: none
+    // Upper bound on a whole attempt, its answer included, unless CallPermits::remaining() allows more; zero: none.
+    Micros whole_attempt_limit{};
     std::shared_ptr<RetryAdmission> retries;  // null: only the policy limits retries
     std::shared_ptr<Payload> payload;
 };
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -316,6 +316,8 @@
     struct AttemptState {
         UpstreamId upstream = 0;
         std::optional<Handle> expiry;
+        Time permitted_until = Time::max();  // also while its answer is passed on
+        Time answer_ends_by = Time::max();
         bool active = true;        // its end has not been reported
         bool sending = false;      // its first byte was handed to the socket
         Time sending_since{};      // when that was
@@ -668,9 +670,9 @@
         cancel_timer(open.watchdog);
         cancel_timer(attempt->expiry);
         if (open.call.max_answer_duration > Micros{0}) {
-            const Time limit = now_ + std::min(open.call.max_answer_duration, max_timeout);
-            attempt->expiry = timers_.set(limit, expiry_timer(event.key));
+            attempt->answer_ends_by = now_ + std::min(open.call.max_answer_duration, max_timeout);
         }
+        set_answer_expiry(*attempt, event.key);
         call_port([&] { open.front->on_started(open.token, std::move(event.head)); });
         pool->policy->on_started(now_, {event.key.call, event.key.number, attempt->upstream, event.latency});
         for (AttemptState& other : open.attempts) {
@@ -726,11 +728,28 @@
         const AttemptKey key{due.owner, static_cast<int>(due.number)};
         Pool* const pool = find_pool(open.call.pool);
         AttemptState* const attempt = find_attempt(key);
-        if (!pool || !attempt) return;
+        if (!pool || !attempt || may_continue(open, *attempt, key)) return;
         if (!call_port([&] { pool->back.expire(key); }))
             attempt->expiry = timers_.set(now_ + expire_retry_delay, due);
     }
 
+    // Returns true if the attempt's answer has begun and its permit is held for longer than was known before.
+    bool may_continue(OpenCall& open, AttemptState& attempt, AttemptKey key) {
+        if (!open.permits || open.started_attempt != key.number) return false;
+        if (attempt.permitted_until > now_ || attempt.answer_ends_by <= now_) return false;
+        Micros remaining{};
+        call_port([&] { remaining = open.permits->remaining(key.number); });
+        if (remaining <= Micros{0}) return false;
+        attempt.permitted_until = now_ + std::min(remaining, max_timeout);
+        set_answer_expiry(attempt, key);
+        return true;
+    }
+
+    void set_answer_expiry(AttemptState& attempt, AttemptKey key) {
+        const Time limit = std::min(attempt.permitted_until, attempt.answer_ends_by);
+        if (limit != Time::max()) attempt.expiry = timers_.set(limit, expiry_timer(key));
+    }
+
     // Answers a call when its deadline watchdog fires, whatever went wrong before.
     void answer_overdue(CallId id, OpenCall& open) {
         if (open.answered) return;
@@ -778,6 +797,10 @@
         if (open.call.attempt_limit > Micros{0}) {
             expires = std::min(expires, now_ + std::min(open.call.attempt_limit, max_timeout));
         }
+        if (open.call.whole_attempt_limit > Micros{0}) {
+            attempt.permitted_until = now_ + std::min(open.call.whole_attempt_limit, max_timeout);
+            expires = std::min(expires, attempt.permitted_until);
+        }
         if (!allowed && !(open.denied_retry_after && open.other_active(key.number))) end_without_retry(open);
         // Nothing is sent for a call that has been answered or whose answer has begun, nor for an attempt
         // that is not allowed or whose time is up.
--- a/src/pg/listener.cpp
+++ b/src/pg/listener.cpp
@@ -614,7 +614,7 @@
         void after_server() override { pump(); }
         LossReport on_server_lost(LossCause cause) override {
             const LossReport loss = lose_link();
-            session_->end_if_state_lost(cause);
+            session_->on_loss_cause(cause);
             return loss;
         }
         void on_drain(bool at_limit) override {
--- a/src/pg/session.cpp
+++ b/src/pg/session.cpp
@@ -598,8 +598,12 @@
     return loss;
 }
 
-void Session::end_if_state_lost(LossCause cause) {
-    if (!state_lost_) return;
+void Session::on_loss_cause(LossCause cause) {
+    deadline_passed_ |= unit_open_ && cause == LossCause::time_limit;
+    if (state_lost_) end_for_lost_state(cause);
+}
+
+void Session::end_for_lost_state(LossCause cause) {
     if (cause == LossCause::draining && !commit_in_doubt_)
         return end_session("57P01", "the server that holds this session's state drains");
     if (cause != LossCause::time_limit && !commit_in_doubt_)
@@ -623,7 +627,7 @@
         host_.release(true);
         return request_server(false);
     }
-    if (state_lost_) return end_if_state_lost(LossCause::connection_lost);
+    if (state_lost_) return end_for_lost_state(LossCause::connection_lost);
     if (!server_) pinned_ = false;  // what the unit would have pinned has not run
     answer_unit("53000", "no server took this: " + rejection.reason, detail, status_after_loss());
 }
--- a/src/pg/session.h
+++ b/src/pg/session.h
@@ -127,8 +127,9 @@
     // The linked server is lost. The result decides whether the unit may be sent to another server; if a unit
     // was open, on_link(), on_rejected() or on_failed() follows.
     LossReport on_server_lost();
-    // Ends the session if its latest loss included session state, which no other server has.
-    void end_if_state_lost(LossCause cause);
+    // Says why the latest loss came. Ends the session if the loss included session state, which no other server
+    // has.
+    void on_loss_cause(LossCause cause);
 
     // --- End of a unit or of the session ---
     void on_rejected(const Rejection& rejection);
@@ -224,6 +225,7 @@
     // Returns true if anything of the open unit itself, beyond the settings, was passed to the server.
     bool unit_is_sent() const { return server_ && unit_open_ && phase_ != Phase::waiting; }
     bool may_have_committed() const { return unit_is_sent() && server_->may_have_committed(); }
+    void end_for_lost_state(LossCause cause);
     // The error of a unit whose server was lost when the unit may have run.
     ErrorText loss_error(bool timed_out) const;
     // Answers the open unit with an error, and with the ReadyForQuery that the protocol requires behind it.
--- a/tests/budget/admission_test.cpp
+++ b/tests/budget/admission_test.cpp
@@ -20,10 +20,11 @@
 using core::Verdict;
 
 // The holder's clock: reads the core's clock, which a simulated suspension advances without serving the
-// core's alarm.
+// core's alarm. It has an origin of its own.
 struct CoreClockView final : core::Clock {
-    Time now() const override { return of ? of->now() : FakeClock().at; }
+    Time now() const override { return of ? of->now() + ahead : FakeClock().at; }
     const core::Clock* of = nullptr;
+    Micros ahead{};
 };
 
 Budget budget_of(const char* name, Counts counts, Amount whole) {
@@ -101,13 +102,14 @@
     }
     void lease(const std::vector<Amount>& shares, Micros term) {
         LeaseReply reply;
-        reply.number = holder.request(now()).number;
+        const Time at = Fleet::clock.now();
+        reply.number = holder.request(at).number;
         reply.epoch = 1;
         reply.seq = ++seq;
         reply.term = term;
         for (std::size_t i = 0; i < shares.size(); ++i)
             reply.grants.push_back({holder.terms().budgets[i].name, shares[i]});
-        holder.on_reply(reply, now());
+        holder.on_reply(reply, at);
     }
     // Submits a call, which the core accepts and either sends or answers at once.
     void submit(std::uint64_t token, int class_index = safe, int tenant = 0) {
@@ -442,6 +444,33 @@
     }
 }
 
+// The authority counts a permit for the longest attempt after the request that reported it last. An attempt whose
+// answer had begun went on for longer when no request reached the authority.
+TEST(PermitLimit, AnAttemptMayContinueOnlyWhileItsPermitIsReported) {
+    World world({budget_of("a", Counts::concurrency, places(1))});
+    const Micros longest = world.holder.terms().max_attempt_duration;
+    world.Fleet::clock.ahead = std::chrono::hours(10);
+    world.lease();
+    world.submit(1, unsafe);
+    const auto key = world.last_attempt();
+    world.back->begin(key);
+    world.back->start(key);
+    const auto expired_after = [&](Micros span) {
+        world.pass(span - Micros(1));
+        EXPECT_TRUE(world.back->expired.empty());
+        world.pass(Micros(1));
+        return !world.back->expired.empty();
+    };
+    EXPECT_FALSE(expired_after(longest / 2));
+    world.lease();
+    EXPECT_FALSE(expired_after(longest / 2));
+    // A request that is not granted extends nothing.
+    (void)world.holder.request(world.Fleet::clock.now());
+    EXPECT_TRUE(expired_after(longest / 2));
+    EXPECT_EQ(world.back->expired, std::vector<core::AttemptKey>{key});
+    world.expect_final(1, Verdict::failed, Cause::answer_truncated);
+}
+
 // --------------------------------------------------------------------------------------------- random events
 
 // Under random events of calls, attempts and leases, the permits in use stay within each budget, and none
--- a/tests/budget/holder_test.cpp
+++ b/tests/budget/holder_test.cpp
@@ -62,6 +62,23 @@
     }
 }
 
+// A coordinator of an older epoch may still answer after a newer one has: its grant is in force nowhere, and what it
+// says of names is out of date.
+TEST(Holder, RefusesRepliesOfAnOlderEpochThanItHasSeen) {
+    Holder holder({terms_of({1000, 1}), "n1", "a", 1}, 0s);
+    holder.on_reply(granted(holder.request(9s), 5, 7, {2000, 2}), 9s);
+    LeaseReply newer = granted(holder.request(10s), 6, 0, {});
+    newer.verdict = Verdict::waiting;
+    holder.on_reply(newer, 10s);
+    holder.on_reply(granted(holder.request(10s), 5, 8, {4000, 4}), 10s);
+    EXPECT_EQ(holder.accepted_fence(), (FencingToken{5, 7}));
+    EXPECT_EQ(holder.allowance(0).leased(11s), (Amount{2000, 2}));
+    LeaseReply refusal = granted(holder.request(10s), 5, 9, {});
+    refusal.verdict = Verdict::name_taken;
+    holder.on_reply(refusal, 10s);
+    EXPECT_EQ(holder.allowance(0).static_reserve(), (Amount{1000, 1}));
+}
+
 TEST(Holder, IgnoresRepliesToUnknownRequests) {
     Holder holder({terms_of(), "n1", "a", 1}, 0s);
     LeaseRequest never_sent;
--- a/tests/core/hard_cases_test.cpp
+++ b/tests/core/hard_cases_test.cpp
@@ -922,6 +922,29 @@
     expect_final(1, Verdict::failed, Cause::answer_truncated);
 }
 
+// The limit under which a fleet's coordinator gives a permit to another balancer ended with the first byte of the
+// answer, so that an attempt went on under a permit that was no longer its own.
+TEST_F(HardCase, TheLimitOfAWholeAttemptHoldsAfterItsAnswerHasBegun) {
+    for (const Micros answer : {Micros{}, ms(3000)}) {
+        SCOPED_TRACE(answer.count());
+        Call new_call = call(pool, streaming);
+        new_call.whole_attempt_limit = ms(800);
+        new_call.max_answer_duration = answer;
+        const std::uint64_t token = answer > Micros{} ? 2 : 1;
+        ASSERT_EQ(take(new_call, token), AcceptResult::accepted);
+        const auto key = last_sent();
+        pass(ms(100));
+        back->begin(key);
+        back->start(key);
+        back->expired.clear();
+        pass(ms(699));
+        EXPECT_TRUE(back->expired.empty());
+        pass(ms(1));
+        EXPECT_EQ(back->expired, std::vector<AttemptKey>{key});
+        expect_final(token, Verdict::failed, Cause::answer_truncated);
+    }
+}
+
 TEST_F(HardCase, AnAnswerThatBeginsTooLateIsCancelled) {
     back->ends_at_once = false;
     const auto key = begin_one(streaming, 1);
--- a/tests/fake_admission.h
+++ b/tests/fake_admission.h
@@ -24,9 +24,11 @@
     int remaining_calls = no_limit;                // calls that may still be admitted
     int remaining_retries = no_limit;              // attempts after a call's first that may still begin
     Micros retry_delay = std::chrono::seconds(7);  // retry delay advised to rejected calls
+    Micros whole_attempt_limit{};                  // of each admitted call; zero: none
     int refused = 0;                               // calls and attempts rejected so far
 
-    core::AdmissionResult admit(core::Call&, const std::string&, const Settings&, Time) override {
+    core::AdmissionResult admit(core::Call& call, const std::string&, const Settings&, Time) override {
+        call.whole_attempt_limit = whole_attempt_limit;
         core::AdmissionResult admitted;
         if (remaining_calls <= 0) {
             ++refused;
@@ -53,6 +55,7 @@
         }
         bool commit(int, Time) override { return true; }
         void release(int, bool, Time) override {}
+        Micros remaining(int) const override { return {}; }
         Micros retry_after(Time) override { return owner.retry_delay; }
         FakeAdmission& owner;
     };
--- a/tests/pg/budget_test.cpp
+++ b/tests/pg/budget_test.cpp
@@ -46,6 +46,31 @@
     EXPECT_EQ(rig.journal.effects[3].executed, 0);
 }
 
+// The coordinator gives a permit to another balancer once the longest attempt must have ended. A transaction that
+// went on for longer had its permit used twice.
+TEST(PgBudget, TransactionEndsWithTheLimitOfItsPermit) {
+    for (const bool under_way : {false, true}) {
+        SCOPED_TRACE(under_way);
+        FakeAdmission quota;
+        quota.whole_attempt_limit = 1s;
+        Rig rig(&quota);
+        rig.start({"a"});
+        const auto client = Client::logged_in(rig);
+        EXPECT_EQ(client->ask(simple("BEGIN")).status, 'T');
+        EXPECT_EQ(client->ask(simple(insert(1))).errors, 0);
+        if (under_way) client->send(simple("SELECT pg_sleep(100)"));
+        // The server is idle again, or has lost the connection: the transaction is rolled back.
+        ASSERT_TRUE(rig.until([&] { return rig.servers[0]->sessions() == 0; }));
+        if (!under_way) client->send(simple(insert(2)));
+        ASSERT_TRUE(client->answered(3));
+        const Answer told = client->answers()[2];
+        EXPECT_EQ(told.code, "57014");
+        EXPECT_EQ(told.status, 'E');
+        EXPECT_EQ(client->ask(simple("COMMIT")).tag, "ROLLBACK");
+        for (const long i : {1, 2}) EXPECT_EQ(rig.journal.effects[i].committed, 0) << i;
+    }
+}
+
 // The server is dead, and there is no permit for another attempt: the statement was not executed, and the
 // client is told so.
 TEST(PgBudget, RetryWithoutPermitIsRejected) {
