Explorer of PostgreSQL sessions: a loss or a drain limit at every message

Change: fuzz_pg_session plays a session against model servers; each byte of the input is a step of the client, the server or a fault (loss before or after the server ran what it was sent, drain limit, deadline). Two rules are checked after each step: no statement of a session with state runs at a connection without it, and what is told to be rolled back (57P01, 08006, 53000; 57014 in a transaction) is never committed.

--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -12,7 +12,7 @@
 build=${2:-build-fuzz}
 if [ $# -lt 2 ]; then
     cmake -S . -B "$build" -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DFLAXDOOR_FUZZ=ON -DFLAXDOOR_WERROR=ON
-    cmake --build "$build" -j"${JOBS:-$(nproc)}" --target fuzz_corpus fuzz_requests fuzz_answers fuzz_store fuzz_pg fuzz_gateway
+    cmake --build "$build" -j"${JOBS:-$(nproc)}" --target fuzz_corpus fuzz_requests fuzz_answers fuzz_store fuzz_pg fuzz_pg_session fuzz_gateway
 fi
 rm -rf "$build/corpus"
 "$build/tests/fuzz/fuzz_corpus" "$build/corpus"
@@ -40,4 +40,5 @@
 done
 fuzz store 2000 400 -len_control=0
 fuzz pg 12000 4000
+fuzz pg_session 20000 40 -len_control=0
 fuzz gateway 4000 4000 -rss_limit_mb=2048
