A PostgreSQL drain that was called off does not shorten the next one

What callers saw: an open transaction was ended before drain_timeout (2.5 s in place of 6 s) where the server's drain had been called off and begun anew.

Cause: each drain had a timer of its own, which was kept when the server took work again; at its end it looked only at whether the server drains now.

Change: a connection has one drain timer, set with the first notice and cleared when its server takes work again at the same address. The list of timers is gone.

--- a/src/pg/server_connection_pool.cpp
+++ b/src/pg/server_connection_pool.cpp
@@ -48,6 +48,7 @@
         upstream.address = loop::parse_endpoint(address);
         upstream.takes_work = takes_work;
         if (moved || stops) drain(id);
+        if (takes_work) end_drain(id);
         pool_.set_server(id, address, takes_work);
         if (takes_work) release_role_watches(id);
         run();
@@ -146,7 +147,8 @@
               target_(std::move(target)),
               machine_(owner.server_options(user)),
               stream_(std::make_shared<Stream>(owner.executor_, *this)),
-              timer_(owner.timers_) {
+              timer_(owner.timers_),
+              drain_timer_(owner.timers_) {
             ++owner_.budget_.open;
         }
 
@@ -256,9 +258,14 @@
         bool is_role_watch() const { return role_watch_; }
         void set_role_watch(bool watch) { role_watch_ = watch; }
 
-        void notify_drain(bool at_limit) {
-            if (const auto client = client_.lock()) client->on_drain(at_limit);
+        // The server drains, or has another address: the client is ended at the limit, counted from the first
+        // call.
+        void begin_drain(Micros limit) {
+            if (drain_timer_.is_set()) return;
+            drain_timer_.after(limit, [this] { notify_drain(true); });
+            notify_drain(false);
         }
+        void end_drain() { drain_timer_.clear(); }
         void read_now() { stream_->read_now(); }
         UpstreamId upstream_id() const { return upstream_; }
 
@@ -276,6 +283,7 @@
             if (closed_) return;
             closed_ = true;
             timer_.clear();
+            drain_timer_.clear();
             // Prevents an effect after the attempt has ended: output that was not written was reported as not
             // executed.
             if (machine_.is_idle() && machine_.output().empty()) {
@@ -287,6 +295,10 @@
         }
 
     private:
+        void notify_drain(bool at_limit) {
+            if (const auto client = client_.lock()) client->on_drain(at_limit);
+        }
+
         // --- Stream events ---
 
         void on_connected(const error_code& error) override {
@@ -553,7 +565,7 @@
         const Upstream target_;
         ServerMachine machine_;
         std::shared_ptr<Stream> stream_;
-        TimerSet::Timer timer_;
+        TimerSet::Timer timer_, drain_timer_;
         std::weak_ptr<LinkedClient> client_;
         std::optional<core::AttemptKey> attempt_;
         Time served_since_{};
@@ -715,25 +727,14 @@
     }
 
     void drain(UpstreamId id) {
-        const std::vector<std::shared_ptr<Connection>> there = connections_at(id);
-        if (there.empty()) return;
-        for (const auto& connection : there) connection->notify_drain(false);
-        auto timer = std::make_shared<TimerSet::Timer>(timers_);
-        std::vector<std::weak_ptr<Connection>> left(there.begin(), there.end());
-        drain_timers_.push_back(timer);
-        timer->after(options_.drain_limit, [this, left, raw = timer.get()] {
-            const auto kept = left;
-            std::erase_if(drain_timers_,
-                          [&](const auto& each) { return each.get() == raw && end_drained(kept); });
-        });
+        for (const auto& connection : connections_at(id)) connection->begin_drain(options_.drain_limit);
     }
 
-    bool end_drained(const std::vector<std::weak_ptr<Connection>>& connections) {
-        for (const auto& each : connections) {
-            const auto connection = each.lock();
-            if (connection && !connection->takes_work()) connection->notify_drain(true);
+    // The server takes work again, on the connections to its present address.
+    void end_drain(UpstreamId id) {
+        for (const auto& connection : connections_at(id)) {
+            if (connection->takes_work()) connection->end_drain();
         }
-        return true;
     }
 
     // Performs the pool's actions one after another; a nested call returns at once.
@@ -816,7 +817,6 @@
     std::map<core::AttemptKey, std::weak_ptr<LinkedClient>> waiting_clients_;
     // Connections of the attempts that are linked.
     std::map<core::AttemptKey, std::weak_ptr<Connection>> connections_by_attempt_;
-    std::vector<std::shared_ptr<TimerSet::Timer>> drain_timers_;
     std::map<std::string, ServerMachine::Reported> parameters_;
     std::string login_error_;
     std::function<void()> login_end_callback_;
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -688,6 +688,29 @@
     }
 }
 
+// The timer of a drain that was called off ended the transactions of the next drain before its limit.
+TEST(Drain, ADrainThatWasCalledOffDoesNotShortenTheNext) {
+    Rig rig;
+    rig.drain_limit = 100ms;
+    rig.start({"a", "b"});
+    // One client with an open transaction at each server.
+    std::shared_ptr<Client> at_a, at_b;
+    while (!at_a || !at_b) {
+        const auto client = Client::logged_in(rig);
+        rig.journal.texts.clear();
+        (void)client->ask(simple("BEGIN"));
+        (with_text(rig, "a: BEGIN") == 1 ? at_a : at_b) = client;
+    }
+    rig.update_servers({UpstreamState::draining, UpstreamState::draining});
+    rig.drain_limit = 30s;
+    rig.update_servers({UpstreamState::ready, UpstreamState::draining});
+    rig.update_servers({UpstreamState::draining, UpstreamState::draining});
+    ASSERT_TRUE(at_b->wait_for_end()) << "its drain went on";
+    rig.settle();
+    EXPECT_EQ(at_a->ask(simple(insert(1))).errors, 0u);
+    EXPECT_EQ(at_a->ask(simple("COMMIT")).tag, "COMMIT");
+}
+
 TEST(Drain, SessionsWithoutStateMoveAndOthersEndAtTheLimit) {
     Rig rig;
     rig.session.mode = Mode::session;
