No new PostgreSQL transaction begins at a server's old address

What callers saw: after SIGHUP had changed a server's address, a session with state began new transactions at the old one (8 INSERTs in 4 s).

Cause: the core places a pinned unit at the server; the pool served it on the linked connection without asking to which address that goes.

Change: the pool asks, and takes the link from a connection that may get no new work: a session with state ends (57P01), another one is placed anew.

Result: both new tests failed before (the INSERT ran at the old address).

--- a/src/pg/server_connection_pool.cpp
+++ b/src/pg/server_connection_pool.cpp
@@ -70,7 +70,8 @@
             Connection& connection = static_cast<Connection&>(*required);
             if (connection.upstream() != attempt.upstream)
                 return end(attempt.key, Outcome::inconclusive, false);
-            return connection.serve(attempt.key, client);
+            if (connection.takes_work()) return connection.serve(attempt.key, client);
+            return leave_server(attempt, connection, client);
         }
         waiting_clients_[attempt.key] = client;
         pool_.request_connection(attempt.key, attempt.upstream, client->user(), clock_.now());
@@ -646,6 +647,17 @@
         return options;
     }
 
+    // The client's server has been given another address, or drains: the unit is new work, which the connection
+    // must not get. It is placed anew unless the session ends with its state at that server.
+    void leave_server(const core::Attempt& attempt, Connection& connection,
+                      const std::shared_ptr<LinkedClient>& client) {
+        waiting_clients_[attempt.key] = client;
+        (void)client->on_server_lost(LossCause::draining);
+        connection.abandon(Outcome::inconclusive);
+        end(attempt.key, Outcome::inconclusive, false);
+        client->after_server();
+    }
+
     bool wrong_role(const ServerMachine& machine) const {
         if (options_.role == Role::any) return false;
         return machine.is_standby() != (options_.role == Role::replica);
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -688,6 +688,39 @@
     }
 }
 
+// A session with state began new transactions at the address that its server had before a reload.
+TEST(Drain, NoNewTransactionBeginsAtAServersOldAddress) {
+    Rig rig({"a"});
+    const auto client = Client::logged_in(rig);
+    EXPECT_EQ(client->ask(simple("SET search_path TO b")).tag, "SET");
+    ServiceOptions changed = rig.make();
+    rig.add_server("b");
+    changed.databases[0].members[0].address = rig.member(1).address;
+    rig.service->change(std::move(changed));
+    const Answer answer = client->ask(simple(insert(1)));
+    EXPECT_EQ(answer.severity, "FATAL");
+    EXPECT_EQ(answer.code, "57P01");
+    EXPECT_EQ(rig.journal.effects[1].executed, 0);
+    EXPECT_EQ(Client::logged_in(rig)->ask(simple(insert(2))).errors, 0u);
+    EXPECT_EQ(with_text(rig, "b: INSERT"), 1u);
+}
+
+// A session in session mode that has left no state moves to the new address.
+TEST(Drain, SessionWithoutStateMovesToAServersNewAddress) {
+    Rig rig;
+    rig.session.mode = Mode::session;
+    rig.start({"a"});
+    const auto client = Client::logged_in(rig);
+    EXPECT_EQ(client->ask(simple("BEGIN")).status, 'T');
+    ServiceOptions changed = rig.make();
+    rig.add_server("b");
+    changed.databases[0].members[0].address = rig.member(1).address;
+    rig.service->change(std::move(changed));
+    EXPECT_EQ(client->ask(simple("COMMIT")).tag, "COMMIT");
+    EXPECT_EQ(client->ask(simple(insert(1))).errors, 0u);
+    EXPECT_EQ(with_text(rig, "b: INSERT"), 1u);
+}
+
 // The timer of a drain that was called off ended the transactions of the next drain before its limit.
 TEST(Drain, ADrainThatWasCalledOffDoesNotShortenTheNext) {
     Rig rig;
