A Parse that is answered here is answered at once

What callers saw: Parse and Flush of a statement that the server connection had already were answered only at the deadline.

Cause: the answer is queued among the server's answers, and the queue was looked at only when bytes came from the server.

Change: flush() of a linked connection processes the queue where its head needs nothing of the server.

--- a/src/pg/server_connection_pool.cpp
+++ b/src/pg/server_connection_pool.cpp
@@ -203,7 +203,10 @@
         UpstreamId upstream() const override { return upstream_; }
         bool takes_work() const override { return owner_.takes_work(upstream_, target_.address_text); }
         void flush() override {
-            if (!closed_) stream_->flush();
+            if (closed_) return;
+            // Nothing may come from the server that would have it processed.
+            if (machine_.has_local_answer() && !pumping_) return pump();
+            stream_->flush();
         }
         void resume() override {
             if (!closed_) stream_->pause(false);
--- a/src/pg/server_machine.cpp
+++ b/src/pg/server_machine.cpp
@@ -59,6 +59,11 @@
     return found != parameters_.end() && found->second.value == "on";
 }
 
+bool ServerMachine::has_local_answer() const {
+    return state_ == ServerState::up && !expected_answers_.empty() &&
+           expected_answers_.front().kind == AnswerKind::local && !message_open_;
+}
+
 bool ServerMachine::ready_will_follow() const {
     return std::any_of(expected_answers_.begin(), expected_answers_.end(), [](const ExpectedAnswer& answer) {
         return answer.kind == AnswerKind::sync || answer.kind == AnswerKind::query ||
@@ -195,8 +200,7 @@
 std::optional<ServerEvent> ServerMachine::next() {
     if (state_ == ServerState::asking_tls || state_ == ServerState::logging_in) return next_login();
     while (state_ == ServerState::up) {
-        if (!expected_answers_.empty() && expected_answers_.front().kind == AnswerKind::local &&
-            !message_open_) {
+        if (has_local_answer()) {
             ServerEvent event{
                 ServerEvent::Kind::local_answer, {}, std::move(expected_answers_.front().text), {}, status_};
             expected_answers_.pop_front();
--- a/src/pg/server_machine.h
+++ b/src/pg/server_machine.h
@@ -86,6 +86,8 @@
     bool is_standby() const;
     // Returns true if no answer is expected: the connection can become idle, or be closed by Terminate.
     bool is_idle() const { return state_ == ServerState::up && expected_answers_.empty(); }
+    // Returns true if the next event needs nothing of the server.
+    bool has_local_answer() const;
     // Returns true if a ReadyForQuery will follow without another message to the server.
     bool ready_will_follow() const;
     // Returns false while a message is partly read: the next client of the connection would receive the rest
--- a/tests/pg/hard_cases_test.cpp
+++ b/tests/pg/hard_cases_test.cpp
@@ -845,6 +845,23 @@
     EXPECT_EQ(other->ask(wire::bind("", "mine") + wire::execute("") + wire::sync()).types, "2DC");
 }
 
+// A statement that its server connection had already was not answered until something else came from the server: a
+// client that waits for it behind a Flush waited until the deadline.
+TEST(Pooling, AStatementThatTheServerHasIsAnsweredAtOnce) {
+    Rig rig({"a"});
+    const auto first = Client::logged_in(rig), second = Client::logged_in(rig);
+    const string parse = wire::parse("s", "SELECT 5");
+    EXPECT_EQ(first->ask(parse + wire::sync()).types, "1");
+    second->send(parse + wire::flush());
+    const auto is_answered = [&] {
+        const auto answers = second->answers();
+        return !answers.empty() && answers.back().types == "1";
+    };
+    ASSERT_TRUE(rig.until(is_answered));
+    EXPECT_EQ(second->ask(wire::bind("", "s") + wire::execute("") + wire::sync()).rows.size(), 1u);
+    EXPECT_EQ(rig.servers[0]->logins(), 1u) << "both used one connection";
+}
+
 TEST(Pooling, StatementsArePreparedAgainAfterARestart) {
     Rig rig({"a"});
     const auto client = Client::logged_in(rig);
