--- a/src/pg/session.cpp
+++ b/src/pg/session.cpp
@@ -616,7 +616,8 @@
 }
 
 void Session::on_loss_cause(LossCause cause) {
-    deadline_passed_ |= unit_open_ && cause == LossCause::time_limit;
+    // Before its answer has started, the unit may still be sent to another server.
+    deadline_passed_ |= unit_open_ && answer_started_ && cause == LossCause::time_limit;
     if (state_lost_) end_for_lost_state(cause);
 }
 
