--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,73 +1,91 @@
-"""A booking that was refused, "trying again is harmless", has run; tried again, it runs twice. See claim.txt."""
+"""Bad clients by hundreds take the balancer over the memory that its configuration allows. See claim.txt."""
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 from peers import *
 
-BUDGET = 700   # ms; the class's deadline is 750
-WINDOW = 500.0  # ms
-HANG = 3.0     # s
+MEMORY_MB, DESCRIPTORS = 32, 1024  # "32 to 192 MB by language and day, and 256 to 1,024 descriptors"
+BAD_CLIENTS = 480                  # "by hundreds", "hundreds of requests at once"
+SECONDS = 8
+
+
+def memory_kb(balancer):
+    """What the process holds now, and the most that it has held, in KB, as the platform's system tells it."""
+    now = most = 0
+    try:
+        with open(f"/proc/{balancer.process.pid}/status") as file:
+            for line in file:
+                if line.startswith("VmRSS:"):
+                    now = int(line.split()[1])
+                elif line.startswith("VmHWM:"):
+                    most = int(line.split()[1])
+    except FileNotFoundError:
+        pass
+    return now, most
 
 
 async def main(folder, record):
     listen, discovery_port, first, second = (free_port() for _ in range(4))
-    keys = KeyMemory(WINDOW / 1000)  # one memory: group "all"
-    nodes = [Node(record, "first", keys=keys), Node(record, "second", keys=keys)]
+    nodes = [Node(record, "first"), Node(record, "second")]
     await nodes[0].start(first)
     await nodes[1].start(second)
     hosts = [host("first", first), host("second", second)]
     discovery = Discovery(record, hosts)
     await discovery.start(discovery_port)
-    services = config(listen, discovery_port)["settings"]["services"]
-    for each in services:
-        if each["name"] == "book":
-            each.update(group="all", window=WINDOW)
-    balancer = Balancer(folder, record, config(listen, discovery_port, hosts=hosts, services=services))
-    calls = 0
+    settings = config(listen, discovery_port, hosts=hosts)
+    settings["limits"].update(memory_mb=MEMORY_MB, sockets=DESCRIPTORS)
+    balancer = Balancer(folder, record, settings)
+    longest = [0.0]
 
-    async def book(key):
-        nonlocal calls
-        calls += 1
-        call = f"c{calls}"
-        began = record.now()
-        writer.write(request(call, "book", BUDGET, key=key))
-        status, _, head = await asyncio.wait_for(read_answer(reader), 5)
-        advice = [line for line in head.split("\r\n") if line.lower().startswith("retry-after")]
-        record.write(f"client: {call}, key {key}: {status} {' '.join(advice)} after {record.now() - began:.3f} s")
-        return status
+    async def sound(number, until):
+        reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+        count = 0
+        while record.now() < until:
+            count += 1
+            try:
+                writer.write(request(f"c{number}-{count}", "check-in", 150))
+                status, _, _ = await asyncio.wait_for(read_answer(reader), 10)
+                if count % 20 == 1:
+                    record.write(f"client: c{number}-{count}: {status}")
+            except (ConnectionError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+            await asyncio.sleep(0.1)
+
+    async def bad(number):
+        """Begins a POST whose body comes in the smallest pieces that the protocol has, and stops before its end."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", listen)
+            head = (f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: b{number}\r\nX-Call-Class: check-in\r\n"
+                    "X-Budget-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n")
+            began = record.now()
+            writer.write(head.encode() + b"1\r\nz\r\n" * 65000)
+            await asyncio.wait_for(reader.read(), 10)
+            longest[0] = max(longest[0], record.now() - began)
+            writer.close()
+        except (ConnectionError, asyncio.TimeoutError):
+            pass
 
     try:
         if not await wait_ready(listen, balancer):
             record.write("the balancer is not ready: " + balancer.log())
             return NOT_RUN
         await asyncio.sleep(1.5)
-        reader, writer = await asyncio.open_connection("127.0.0.1", listen)
-        for i in range(20):
-            if await book(f"w{i}") != 200:
-                return NOT_RUN
-            await asyncio.sleep(0.02)
+        until = record.now() + SECONDS
+        tasks = [asyncio.ensure_future(sound(number, until)) for number in range(5)]
+        await asyncio.sleep(1)
+        record.write(f"the balancer holds {memory_kb(balancer)[0]} KB; its limit is {MEMORY_MB * 1024} KB")
         if TROUBLE:
-            nodes[0].hangs = True
-            record.write("first: hangs in the middle of its work")
-            asyncio.get_event_loop().call_later(HANG, setattr, nodes[0], "hangs", False)
-        began = record.now()
-        booking = 0
-        while record.now() < began + 10:
-            booking += 1
-            key = f"k{booking}"
-            # A client retries by itself at most once, after a refusal, after a short wait.
-            if await book(key) in (429, 503):
-                await asyncio.sleep(0.05)
-                await book(key)
-            await asyncio.sleep(0.02)
-        runs = {}
-        for node in nodes:
-            for key, times in node.effects.items():
-                runs.setdefault(key, []).extend((round(when, 3), node.name) for when in times)
-        twice = {key: sorted(when) for key, when in runs.items() if len(when) > 1}
-        record.write(f"{booking} bookings, run twice: {twice}")
-        return BROKEN if twice else HELD
+            record.write(f"{BAD_CLIENTS} further clients begin a request with a body of 64 KB at most, once")
+            tasks += [asyncio.ensure_future(bad(number)) for number in range(BAD_CLIENTS)]
+        while record.now() < until:
+            await asyncio.sleep(0.25)
+            record.write(f"the balancer holds {memory_kb(balancer)[0]} KB")
+        await asyncio.wait(tasks, timeout=10)
+        most = memory_kb(balancer)[1]
+        record.write(f"the most that the balancer has held: {most} KB of {MEMORY_MB * 1024} KB; "
+                     f"the longest that a bad client waited for its end: {longest[0]:.1f} s")
+        return BROKEN if most > MEMORY_MB * 1024 or not balancer.alive() else HELD
     finally:
         balancer.end()
 
